--- /dev/null
+++ b/src/adapters/api.ts
@@ -0,0 +1,129 @@
+/** HTTP for users, workers and health checks, by hono on Node's own server. */
+import { createServer, type Server } from 'node:http';
+import { getRequestListener } from '@hono/node-server';
+import { type Context, Hono } from 'hono';
+import type { TeamName } from '../core/types.js';
+import type { Controller, Lookup } from '../service/controller.js';
+import type { Log } from './log.js';
+import type { Settings } from './settings.js';
+import { jobAnswer, ordersOut, parseJob, parseJobId, parseReport } from './wire.js';
+
+const MAX_BODY = 64 * 1024;
+/** Reports of a machine full of small tasks are longer than what users may send. */
+const MAX_REPORT = 4 * 1024 * 1024;
+const RETRY_AFTER_S = '1';
+/** Requests under way beyond which new work is turned away: memory is bounded by it. */
+const MAX_IN_FLIGHT = 400;
+
+const later = (c: Context, reason: string) =>
+  c.json({ error: reason }, 503, { 'Retry-After': RETRY_AFTER_S });
+
+type Body = { readonly json: unknown } | { readonly fault: string };
+
+const readBody = async (c: Context, limit: number): Promise<Body> => {
+  if (Number(c.req.header('content-length') ?? 0) > limit) return { fault: 'body too large' };
+  const text = await c.req.text();
+  if (Buffer.byteLength(text) > limit) return { fault: 'body too large' };
+  try {
+    return { json: JSON.parse(text) };
+  } catch {
+    return { fault: 'body is not JSON' };
+  }
+};
+
+export const makeApi = (controller: Controller, log: Log): Hono => {
+  const app = new Hono();
+
+  app.get('/up', (c) => (controller.ready() ? c.json({ ok: true }) : later(c, 'starting')));
+
+  app.post('/checkin', async (c) => {
+    const body = await readBody(c, MAX_REPORT);
+    const report = 'json' in body ? parseReport(body.json) : null;
+    if (!report) {
+      log.info({ fault: 'fault' in body ? body.fault : 'fields' }, 'check-in of an unknown form');
+      return c.json({ error: 'malformed' }, 400);
+    }
+    const answer = await controller.checkIn(report);
+    if (answer.kind === 'orders') return c.json({ Baton: answer.term, Orders: ordersOut(answer.orders) });
+    if (answer.kind === 'later') return later(c, 'not now');
+    return c.json(answer.leader === null ? {} : { Foreman: answer.leader }, 421);
+  });
+
+  app.post('/api/jobs', async (c) => {
+    const body = await readBody(c, MAX_BODY);
+    if ('fault' in body) return c.json({ error: body.fault }, 400);
+    const { json } = body;
+    if (typeof json !== 'object' || json === null || Array.isArray(json)) {
+      return c.json({ error: 'body is not an object' }, 400);
+    }
+    const id = parseJobId((json as { Ref?: unknown }).Ref);
+    if (!id) return c.json({ error: 'Ref: missing or malformed' }, 400);
+    const result = await controller.submit(id, parseJob(json));
+    if (result.kind === 'accepted') return c.json(jobAnswer(result.view), 201);
+    if (result.kind === 'later') return later(c, result.reason);
+    if (!('reason' in result)) return c.json(jobAnswer(result.view));
+    log.info({ job: id, reason: result.reason }, 'refused');
+    return c.json({ error: result.reason }, result.kind === 'malformed' ? 400 : 422);
+  });
+
+  const say = (c: Context, view: Lookup) => {
+    if (view === 'absent') return c.json({ error: 'no such job' }, 404);
+    if (view === 'later') return later(c, 'state service away');
+    return c.json(jobAnswer(view));
+  };
+
+  app.get('/api/jobs', async (c) => {
+    const team = c.req.query('team');
+    if (!team) return c.json({ error: 'name a team: ?team=NAME' }, 400);
+    const jobs = await controller.list(team as TeamName);
+    return jobs ? c.json({ jobs: jobs.map(jobAnswer) }) : later(c, 'no leader to ask');
+  });
+
+  app.get('/api/jobs/:id', async (c) => {
+    const id = parseJobId(c.req.param('id'));
+    return id ? say(c, await controller.lookUp(id)) : c.json({ error: 'no such job' }, 404);
+  });
+
+  app.get('/api/jobs/:id/explain', async (c) => {
+    const id = parseJobId(c.req.param('id'));
+    if (!id) return c.json({ error: 'no such job' }, 404);
+    const told = await controller.explain(id);
+    return told ? c.json(told) : say(c, await controller.lookUp(id));
+  });
+
+  app.post('/api/jobs/:id/abort', async (c) => {
+    const id = parseJobId(c.req.param('id'));
+    return id ? say(c, await controller.abort(id)) : c.json({ error: 'no such job' }, 404);
+  });
+
+  app.notFound((c) => c.json({ error: 'no such path' }, 404));
+  app.onError((error, c) => {
+    log.error({ err: error, path: c.req.path }, 'request failed');
+    return later(c, 'fault');
+  });
+  return app;
+};
+
+export const serveApi = (settings: Settings, app: Hono, log: Log): Server => {
+  const listener = getRequestListener(app.fetch, { overrideGlobalObjects: false });
+  let inFlight = 0;
+  const server = createServer((req, res) => {
+    if (inFlight >= MAX_IN_FLIGHT && req.url !== '/checkin') {
+      res.writeHead(503, { 'Retry-After': RETRY_AFTER_S, 'content-length': '0' }).end();
+      return;
+    }
+    inFlight += 1;
+    res.once('close', () => (inFlight -= 1));
+    void listener(req, res);
+  });
+  server.keepAliveTimeout = 75_000;
+  server.headersTimeout = 20_000;
+  server.requestTimeout = 20_000;
+  server.maxConnections = Math.max(10, Math.floor(settings.quota.maxConnections * 0.8));
+  server.on('error', (error) => {
+    log.error({ err: error }, 'cannot listen');
+    process.exit(1);
+  });
+  server.listen(settings.api.port, settings.api.host);
+  return server;
+};
--- /dev/null
+++ b/src/adapters/cloud-client.ts
@@ -0,0 +1,74 @@
+/** The cloud's interface: types, renting, deleting, listing; within its rate. */
+import type {
+  ListedMachine,
+  MachineId,
+  MachineType,
+  RequestName,
+  TypeName,
+  ZoneName,
+} from '../core/types.js';
+import { HttpClient, type Reply } from './http-client.js';
+import { RateLimiter } from './rate-limiter.js';
+import type { Endpoint } from './settings.js';
+import { parseMachines, parseNames, parseTypes } from './wire.js';
+
+const REQUEST_MS = 6000;
+const QUEUE_MS = 3000;
+const PAGE = 500;
+
+export class CloudClient {
+  private readonly http: HttpClient;
+  private readonly limiter: RateLimiter;
+
+  constructor(at: Endpoint, rps: number) {
+    this.http = new HttpClient(at, 4);
+    // The bench of limits is shared by all controllers; only the leader uses it steadily.
+    this.limiter = new RateLimiter(rps * 0.7, Math.max(1, rps * 0.7), 20);
+  }
+
+  private async call(method: string, path: string, body?: unknown): Promise<Reply> {
+    if (!(await this.limiter.take(1, QUEUE_MS))) return { kind: 'none', sent: false, reason: 'rate' };
+    return this.http.call(method, path, body, REQUEST_MS);
+  }
+
+  async types(): Promise<MachineType[] | null> {
+    const reply = await this.call('GET', '/machine_types');
+    return reply.kind === 'answer' && reply.status === 200 ? parseTypes(reply.body) : null;
+  }
+
+  async rent(
+    request: RequestName,
+    type: TypeName,
+    zone: ZoneName,
+    spot: boolean,
+    count: number,
+  ): Promise<MachineId[] | 'refused' | 'unknown'> {
+    const body = { Hire: request, Hull: type, Yard: zone, Loaners: spot, HowMany: count };
+    const reply = await this.call('POST', '/machines', body);
+    if (reply.kind === 'answer' && reply.status === 200) return parseNames(reply.body) ?? 'unknown';
+    if (reply.kind === 'answer') return 'refused';
+    return reply.sent ? 'unknown' : 'refused';
+  }
+
+  async delete(machines: readonly MachineId[]): Promise<boolean> {
+    const reply = await this.call('POST', '/machines/delete', { Berths: machines });
+    return reply.kind === 'answer' && reply.status === 200;
+  }
+
+  async list(): Promise<ListedMachine[] | null> {
+    const all: ListedMachine[] = [];
+    for (;;) {
+      const after = all.at(-1)?.id;
+      const since = after === undefined ? '' : `Since=${encodeURIComponent(after)}&`;
+      const reply = await this.call('GET', `/machines?${since}Limit=${PAGE}`);
+      const page = reply.kind === 'answer' && reply.status === 200 ? parseMachines(reply.body) : null;
+      if (!page) return null;
+      all.push(...page.machines);
+      if (!page.more || page.machines.length === 0) return all;
+    }
+  }
+
+  close(): void {
+    this.http.close();
+  }
+}
--- /dev/null
+++ b/src/adapters/http-client.ts
@@ -0,0 +1,86 @@
+/** JSON over Node's own HTTP client, with keep-alive, a deadline for the whole exchange and bounded answers. */
+import { Agent, request } from 'node:http';
+import type { Endpoint } from './settings.js';
+
+export type Reply =
+  | { readonly kind: 'answer'; readonly status: number; readonly body: unknown }
+  /** No answer. `sent`: the request may have been, or may yet be, carried out. */
+  | { readonly kind: 'none'; readonly sent: boolean; readonly reason: string };
+
+const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+
+export class HttpClient {
+  private readonly agent: Agent;
+
+  constructor(
+    private readonly at: Endpoint,
+    maxSockets: number,
+    idleMs = 15_000,
+  ) {
+    this.agent = new Agent({ keepAlive: true, maxSockets, maxFreeSockets: 4, timeout: idleMs });
+  }
+
+  call(method: string, path: string, body: unknown, timeoutMs: number): Promise<Reply> {
+    return new Promise((resolve) => {
+      const text = body === undefined ? undefined : JSON.stringify(body);
+      let settled = false;
+      let connected = false;
+      const finish = (reply: Reply) => {
+        if (settled) return;
+        settled = true;
+        clearTimeout(timer);
+        resolve(reply);
+      };
+      const headers: Record<string, string | number> =
+        text === undefined
+          ? {}
+          : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) };
+      const req = request({
+        host: this.at.host,
+        port: this.at.port,
+        method,
+        path,
+        headers,
+        agent: this.agent,
+      });
+      const fail = (reason: string) => {
+        finish({ kind: 'none', sent: connected, reason });
+        req.destroy();
+      };
+      const timer = setTimeout(() => fail('no answer in time'), timeoutMs);
+      req.on('socket', (socket) => {
+        if (socket.connecting) socket.once('connect', () => (connected = true));
+        else connected = true;
+      });
+      req.on('error', (error) => fail(error.message));
+      req.on('response', (res) => {
+        const parts: Buffer[] = [];
+        let size = 0;
+        res.on('data', (part: Buffer) => {
+          size += part.length;
+          if (size > MAX_ANSWER_BYTES) fail('answer too large');
+          else parts.push(part);
+        });
+        res.on('error', (error) => fail(error.message));
+        res.on('close', () => fail('connection closed within the answer'));
+        res.on('end', () => {
+          const raw = Buffer.concat(parts).toString('utf8');
+          try {
+            finish({
+              kind: 'answer',
+              status: res.statusCode ?? 0,
+              body: raw === '' ? null : JSON.parse(raw),
+            });
+          } catch {
+            finish({ kind: 'none', sent: true, reason: 'answer is not JSON' });
+          }
+        });
+      });
+      req.end(text);
+    });
+  }
+
+  close(): void {
+    this.agent.destroy();
+  }
+}
--- /dev/null
+++ b/src/adapters/random.ts
@@ -0,0 +1,16 @@
+/** Jitter for back-off, from a seeded generator so that tests can repeat it. */
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+
+export class Jitter {
+  private readonly generator;
+
+  constructor(seed: number) {
+    this.generator = xoroshiro128plus(seed);
+  }
+
+  /** Between half of `ms` and one and a half times it. */
+  around(ms: number): number {
+    return ms * (0.5 + uniformFloat64(this.generator));
+  }
+}
--- /dev/null
+++ b/src/adapters/state-client.ts
@@ -0,0 +1,218 @@
+/** The state service: wire names in, plain results out, within this node's share of its limits. */
+import * as v from 'valibot';
+import type { Revision } from '../core/types.js';
+import { HttpClient, type Reply } from './http-client.js';
+import { RateLimiter } from './rate-limiter.js';
+import type { Endpoint } from './settings.js';
+
+export type LeaseId = number & { readonly __lease: unique symbol };
+
+/** refused: surely not executed; unknown: it may have been, or may yet be. */
+export type Failure = 'refused' | 'unknown';
+
+export interface Item {
+  readonly key: string;
+  readonly value: unknown;
+  readonly revision: Revision;
+}
+
+export type Change =
+  | { readonly key: string; readonly value: unknown; readonly revision: Revision }
+  | { readonly key: string; readonly deleted: true; readonly revision: Revision };
+
+export type Write =
+  | { readonly put: string; readonly value: unknown; readonly lease?: LeaseId }
+  | { readonly del: string };
+
+export interface Guard {
+  readonly key: string;
+  readonly revision: Revision;
+}
+
+const revision = v.pipe(v.number(), v.integer(), v.minValue(0));
+const itemSchema = v.object({ Path: v.string(), Data: v.unknown(), Stamp: revision });
+const listSchema = v.object({
+  Items: v.array(itemSchema),
+  More: v.nullish(v.boolean(), false),
+  Epoch: revision,
+});
+const epochSchema = v.object({ Epoch: revision });
+const holdSchema = v.object({ Hold: v.pipe(v.number(), v.integer()) });
+const changeSchema = v.union([
+  v.object({ Write: v.string(), Data: v.unknown(), Stamp: revision }),
+  v.object({ Delete: v.string(), Stamp: revision }),
+]);
+const followSchema = v.object({ Epoch: revision, News: v.nullish(v.array(changeSchema), []) });
+
+const REQUEST_MS = 1500;
+const QUEUE_MS = 1500;
+
+export interface Shares {
+  readonly rps: number;
+  readonly writeRps: number;
+}
+
+const path = (params: Record<string, string | number | undefined>): string =>
+  Object.entries(params)
+    .filter(([, value]) => value !== undefined)
+    .map(([name, value]) => `${name}=${encodeURIComponent(String(value)).replace(/%2F/g, '/')}`)
+    .join('&');
+
+const failed = (reply: Reply): Failure =>
+  reply.kind === 'none' && reply.sent
+    ? 'unknown'
+    : reply.kind === 'answer' && reply.status < 500 && reply.status !== 429
+      ? 'unknown'
+      : 'refused';
+
+export class StateClient {
+  private readonly http: HttpClient;
+  private readonly watches: HttpClient;
+  private readonly requests: RateLimiter;
+  private readonly writes: RateLimiter;
+  /** Until when requests of users are refused at once, after the service did not answer. */
+  private downUntil = 0;
+
+  constructor(at: Endpoint, shares: Shares) {
+    this.http = new HttpClient(at, 8);
+    this.watches = new HttpClient(at, 4, 60_000);
+    this.requests = new RateLimiter(shares.rps, shares.rps);
+    this.writes = new RateLimiter(shares.writeRps, shares.writeRps);
+  }
+
+  /** True while the service is known not to answer this node. */
+  down(now: number): boolean {
+    return now < this.downUntil;
+  }
+
+  private async call(method: string, target: string, body: unknown, urgent = false): Promise<Reply> {
+    if (urgent) this.requests.force(1);
+    else if (!(await this.requests.take(1, QUEUE_MS))) {
+      return { kind: 'none', sent: false, reason: 'too many requests waiting' };
+    }
+    const reply = await this.http.call(method, target, body, REQUEST_MS);
+    if (reply.kind === 'none' || reply.status === 503) this.downUntil = performance.now() + 400;
+    else if (reply.status !== 429) this.downUntil = 0;
+    return reply;
+  }
+
+  async get(key: string): Promise<Item | 'absent' | Failure> {
+    const reply = await this.call('GET', `/kv/${key}`, undefined);
+    if (reply.kind === 'answer' && reply.status === 404) return 'absent';
+    if (reply.kind === 'answer' && reply.status === 200) {
+      const item = v.safeParse(itemSchema, reply.body);
+      if (item.success) {
+        return { key: item.output.Path, value: item.output.Data, revision: item.output.Stamp as Revision };
+      }
+    }
+    return failed(reply);
+  }
+
+  async list(
+    prefix: string,
+    after: string | undefined,
+    limit: number,
+  ): Promise<{ items: Item[]; more: boolean; revision: Revision } | Failure> {
+    const target = `/kv?${path({ Under: prefix, Since: after, Limit: limit })}`;
+    const reply = await this.call('GET', target, undefined);
+    if (reply.kind === 'answer' && reply.status === 200) {
+      const page = v.safeParse(listSchema, reply.body);
+      if (page.success) {
+        const items = page.output.Items.map((i) => ({
+          key: i.Path,
+          value: i.Data,
+          revision: i.Stamp as Revision,
+        }));
+        return { items, more: page.output.More ?? false, revision: page.output.Epoch as Revision };
+      }
+    }
+    return failed(reply);
+  }
+
+  /** All keys under a prefix; the revision is that of the first page, so a watch from there misses nothing. */
+  async listAll(prefix: string): Promise<{ items: Item[]; revision: Revision } | Failure> {
+    const items: Item[] = [];
+    let first: Revision | null = null;
+    for (;;) {
+      const page = await this.list(prefix, items.at(-1)?.key, 500);
+      if (typeof page === 'string') return page;
+      first ??= page.revision;
+      items.push(...page.items);
+      if (!page.more || page.items.length === 0) return { items, revision: first };
+    }
+  }
+
+  async txn(
+    guards: readonly Guard[],
+    writes: readonly Write[],
+    maxWaitMs = QUEUE_MS,
+  ): Promise<{ revision: Revision } | 'conflict' | 'expired' | Failure> {
+    if (!(await this.writes.take(writes.length, maxWaitMs))) return 'refused';
+    const reply = await this.call('POST', '/multi', {
+      Guards: guards.map((g) => ({ Path: g.key, Stamp: g.revision })),
+      Apply: writes.map((w) =>
+        'del' in w
+          ? { Delete: w.del }
+          : { Write: w.put, Data: w.value, ...(w.lease === undefined ? {} : { Hold: w.lease }) },
+      ),
+    });
+    if (reply.kind === 'answer') {
+      if (reply.status === 409) return 'conflict';
+      if (reply.status === 400) return 'expired';
+      if (reply.status === 200) {
+        const body = v.safeParse(epochSchema, reply.body);
+        if (body.success) return { revision: body.output.Epoch as Revision };
+      }
+    }
+    return failed(reply);
+  }
+
+  async grant(lifeMs: number): Promise<LeaseId | Failure> {
+    const reply = await this.call('POST', '/holds', { LifeMs: lifeMs }, true);
+    if (reply.kind === 'answer' && reply.status === 200) {
+      const body = v.safeParse(holdSchema, reply.body);
+      if (body.success) return body.output.Hold as LeaseId;
+    }
+    return failed(reply);
+  }
+
+  async renew(lease: LeaseId): Promise<'ok' | 'gone' | Failure> {
+    const reply = await this.call('POST', `/holds/${lease}/renew`, {}, true);
+    if (reply.kind === 'answer' && reply.status === 200) return 'ok';
+    if (reply.kind === 'answer' && reply.status === 404) return 'gone';
+    return failed(reply);
+  }
+
+  async revoke(lease: LeaseId): Promise<void> {
+    await this.call('DELETE', `/holds/${lease}`, undefined, true);
+  }
+
+  async follow(
+    prefix: string,
+    since: Revision,
+    holdMs: number,
+  ): Promise<{ revision: Revision; changes: Change[] } | 'too-old' | Failure> {
+    this.requests.force(1);
+    const target = `/follow?${path({ Under: prefix, Since: since, HoldMs: holdMs })}`;
+    const reply = await this.watches.call('GET', target, undefined, holdMs + 3000);
+    if (reply.kind === 'answer' && reply.status === 410) return 'too-old';
+    if (reply.kind === 'answer' && reply.status === 200) {
+      const body = v.safeParse(followSchema, reply.body);
+      if (body.success) {
+        const changes = (body.output.News ?? []).map(
+          (c): Change =>
+            'Write' in c
+              ? { key: c.Write, value: c.Data, revision: c.Stamp as Revision }
+              : { key: c.Delete, deleted: true, revision: c.Stamp as Revision },
+        );
+        return { revision: body.output.Epoch as Revision, changes };
+      }
+    }
+    return failed(reply);
+  }
+
+  close(): void {
+    this.http.close();
+    this.watches.close();
+  }
+}
--- /dev/null
+++ b/src/adapters/wire.ts
@@ -0,0 +1,254 @@
+/** Between the platform's names on the wire and the names used inside. */
+import * as v from 'valibot';
+import type {
+  Attempt,
+  EndCause,
+  ImageName,
+  JobId,
+  JobSpec,
+  ListedMachine,
+  MachineId,
+  MachineType,
+  Order,
+  Report,
+  ReportedTask,
+  TaskIndex,
+  TaskPhase,
+  TeamName,
+  Term,
+  TypeName,
+  ZoneName,
+} from '../core/types.js';
+
+const JOB_ID = /^job-\d{1,18}$/;
+const amount = v.pipe(v.number(), v.finite(), v.minValue(0), v.maxValue(1e12));
+const label = v.pipe(v.string(), v.minLength(1), v.maxLength(200));
+const count = v.pipe(v.number(), v.integer(), v.minValue(0), v.maxValue(Number.MAX_SAFE_INTEGER));
+
+export const parseJobId = (text: unknown): JobId | null =>
+  typeof text === 'string' && JOB_ID.test(text) ? (text as JobId) : null;
+
+const jobSchema = v.object({
+  Ref: v.pipe(v.string(), v.regex(JOB_ID)),
+  Lane: label,
+  Crew: label,
+  Shape: v.literal('sweep'),
+  Rank: v.picklist(['critical', 'urgent', 'standard', 'best_effort']),
+  Pieces: v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(100_000)),
+  Cpus: amount,
+  Accelerators: amount,
+  MemoryGb: amount,
+  Bundle: label,
+  ImageGb: amount,
+  Hulls: v.nullish(v.pipe(v.array(label), v.maxLength(100)), null),
+  Yard: v.nullish(label, null),
+  OneZone: v.boolean(),
+  Scatter: v.boolean(),
+  Loaners: v.boolean(),
+  GuessS: amount,
+  BookmarkS: amount,
+  StowS: amount,
+  DueS: v.nullish(amount, null),
+});
+
+/** The job, or the field that is wrong. */
+export const parseJob = (body: unknown): JobSpec | { readonly fault: string } => {
+  const result = v.safeParse(jobSchema, body);
+  if (!result.success) {
+    const issue = result.issues[0];
+    return { fault: `${v.getDotPath(issue) ?? 'body'}: ${issue.message}` };
+  }
+  const b = result.output;
+  return {
+    id: b.Ref as JobId,
+    lane: b.Lane,
+    team: b.Crew as TeamName,
+    priority: b.Rank,
+    tasks: b.Pieces,
+    cpus: b.Cpus,
+    gpus: b.Accelerators,
+    memoryGb: b.MemoryGb,
+    types: b.Hulls as TypeName[] | null,
+    zone: b.Yard as ZoneName | null,
+    oneZone: b.OneZone,
+    scatter: b.Scatter,
+    spotOk: b.Loaners,
+    image: b.Bundle as ImageName,
+    imageGb: b.ImageGb,
+    estimateS: b.GuessS,
+    checkpointS: b.BookmarkS,
+    saveS: b.StowS,
+    deadlineS: b.DueS,
+  };
+};
+
+export interface JobView {
+  readonly id: JobId;
+  readonly status: 'queued' | 'running' | 'done' | 'cancelled';
+  readonly done: number;
+  readonly running: number;
+  readonly waiting?: string;
+}
+
+const STATUS = { queued: 'queued', running: 'running', done: 'done', cancelled: 'withdrawn' } as const;
+
+export const jobAnswer = (view: JobView) => ({
+  Ref: view.id,
+  Status: STATUS[view.status],
+  done: view.done,
+  running: view.running,
+  ...(view.waiting ? { waiting: view.waiting } : {}),
+});
+
+// ---- workers -------------------------------------------------------------------------------------
+
+const taskSchema = v.object({
+  Piece: v.pipe(v.string(), v.regex(/^job-\d{1,18}\/\d{1,9}$/)),
+  Try: count,
+  Status: v.string(),
+  Cause: v.nullish(v.string(), null),
+  Stored: v.nullish(v.boolean(), false),
+});
+
+const reportSchema = v.object({
+  Berth: label,
+  Endpoint: label,
+  Hull: label,
+  Yard: label,
+  Loaners: v.nullish(v.boolean(), false),
+  Tenure: count,
+  Tick: count,
+  Baton: count,
+  RecallS: v.nullish(v.pipe(v.number(), v.finite()), null),
+  Pieces: v.nullish(v.pipe(v.array(taskSchema), v.maxLength(20_000)), []),
+});
+
+const PHASES: Record<string, TaskPhase> = {
+  pulling: 'fetching',
+  gathering: 'fetching',
+  running: 'running',
+  saving: 'saving',
+  ended: 'ended',
+};
+const CAUSES: Record<string, EndCause> = {
+  done: 'done',
+  halted: 'stopped',
+  error: 'error',
+  no_room: 'no_room',
+  in_use: 'busy',
+  unknown: 'unknown',
+};
+
+export const parseReport = (body: unknown): Report | null => {
+  const result = v.safeParse(reportSchema, body);
+  if (!result.success) return null;
+  const b = result.output;
+  const tasks: ReportedTask[] = [];
+  for (const t of b.Pieces ?? []) {
+    const slash = t.Piece.indexOf('/');
+    // A state this version does not know is taken as running: it may hold the machine.
+    const phase = Object.hasOwn(PHASES, t.Status) ? PHASES[t.Status]! : 'running';
+    const cause = t.Cause !== null && Object.hasOwn(CAUSES, t.Cause) ? CAUSES[t.Cause]! : 'other';
+    tasks.push({
+      job: t.Piece.slice(0, slash) as JobId,
+      index: Number(t.Piece.slice(slash + 1)) as TaskIndex,
+      attempt: t.Try as Attempt,
+      phase,
+      cause: phase === 'ended' ? cause : null,
+      saved: t.Stored ?? false,
+    });
+  }
+  return {
+    machine: b.Berth as MachineId,
+    endpoint: b.Endpoint,
+    type: b.Hull as TypeName,
+    zone: b.Yard as ZoneName,
+    spot: b.Loaners ?? false,
+    session: b.Tenure,
+    seq: b.Tick,
+    term: b.Baton as Term,
+    noticeS: b.RecallS ?? null,
+    tasks,
+  };
+};
+
+export const ordersOut = (orders: readonly Order[]) =>
+  orders.map((o) => ({
+    Verb: o.op,
+    Piece: `${o.job}/${o.index}`,
+    Try: o.attempt,
+    ...(o.op === 'kill' ? { WindDownS: o.graceS } : {}),
+  }));
+
+// ---- cloud ---------------------------------------------------------------------------------------
+
+const typesSchema = v.object({
+  Hulls: v.array(
+    v.object({
+      Label: label,
+      Cpus: amount,
+      Accelerators: v.nullish(amount, 0),
+      MemoryGb: amount,
+      FetchGbPerS: v.nullish(amount, 0),
+      Price: amount,
+      SpotPrice: v.nullish(amount, null),
+      StartupS: v.nullish(amount, 60),
+      Yards: v.array(label),
+    }),
+  ),
+});
+
+export const parseTypes = (body: unknown): MachineType[] | null => {
+  const result = v.safeParse(typesSchema, body);
+  if (!result.success) return null;
+  return result.output.Hulls.map((h) => ({
+    name: h.Label as TypeName,
+    cpus: h.Cpus,
+    gpus: h.Accelerators ?? 0,
+    memoryGb: h.MemoryGb,
+    fetchGbPerS: h.FetchGbPerS ?? 0,
+    price: h.Price,
+    spotPrice: h.SpotPrice ?? h.Price,
+    bootS: h.StartupS ?? 60,
+    zones: h.Yards as ZoneName[],
+  }));
+};
+
+const namesSchema = v.object({ Berths: v.array(label) });
+
+export const parseNames = (body: unknown): MachineId[] | null => {
+  const result = v.safeParse(namesSchema, body);
+  return result.success ? (result.output.Berths as MachineId[]) : null;
+};
+
+const listSchema = v.object({
+  Berths: v.array(
+    v.object({
+      Ref: label,
+      Endpoint: v.nullish(v.string(), ''),
+      Hull: label,
+      Yard: label,
+      Loaners: v.nullish(v.boolean(), false),
+      Status: v.string(),
+      HeldS: v.nullish(amount, 0),
+    }),
+  ),
+  More: v.nullish(v.boolean(), false),
+});
+
+export const parseMachines = (body: unknown): { machines: ListedMachine[]; more: boolean } | null => {
+  const result = v.safeParse(listSchema, body);
+  if (!result.success) return null;
+  const machines = result.output.Berths.map(
+    (b): ListedMachine => ({
+      id: b.Ref as MachineId,
+      endpoint: b.Endpoint ?? '',
+      type: b.Hull as TypeName,
+      zone: b.Yard as ZoneName,
+      spot: b.Loaners ?? false,
+      status: b.Status === 'failed' ? 'failed' : b.Status === 'running' ? 'running' : 'booting',
+      ageS: b.HeldS ?? 0,
+    }),
+  );
+  return { machines, more: result.output.More ?? false };
+};
--- /dev/null
+++ b/src/cli/serve.ts
@@ -0,0 +1,28 @@
+import { makeApi, serveApi } from '../adapters/api.js';
+import { makeLog } from '../adapters/log.js';
+import { servePeers } from '../adapters/peer-link.js';
+import { Jitter } from '../adapters/random.js';
+import { Controller } from '../service/controller.js';
+import { type Files, loadFiles } from './load.js';
+
+export const serve = async (files: Files): Promise<void> => {
+  const { settings, policy } = loadFiles(files);
+  const log = makeLog(settings.node);
+  process.on('uncaughtException', (error) => {
+    log.error({ err: error }, 'uncaught');
+    process.exit(1);
+  });
+  const jitter = new Jitter((Date.now() ^ (process.pid << 8)) | 0);
+  const controller = new Controller(settings, policy, log, jitter);
+  serveApi(settings, makeApi(controller, log), log);
+  servePeers(
+    settings.back,
+    (question) => controller.respond(question),
+    (reason) => log.info({ reason }, 'peer message dropped'),
+  ).on('error', (error) => {
+    log.error({ err: error }, 'cannot listen for peers');
+    process.exit(1);
+  });
+  controller.start();
+  log.info({ api: settings.api, zone: settings.zone }, 'serving');
+};
--- /dev/null
+++ b/src/core/backfill.ts
@@ -0,0 +1,306 @@
+/**
+ * One scheduling round: flexible backfilling, BF UNMOD. The head of the queue keeps its rank until it
+ * has started and reserves the room it misses up to the shadow time; the others start by score where
+ * they leave that room alone or end before the shadow time.
+ */
+import { type Ranked, rankJobs } from './rank.js';
+import {
+  ATTEMPTS_PER_TERM,
+  type CoreState,
+  hold,
+  type Job,
+  type Machine,
+  occupies,
+  type Placement,
+  takePending,
+  usable,
+} from './state.js';
+import type { Attempt, Instant, LedgerEntry, MachineType, TypeName } from './types.js';
+
+/** A job whose tasks fail on this many machines in a row is tried one task at a time, with pauses. */
+export const SUSPECT_MACHINES = 3;
+
+/** Room on a machine: what is free now and what the head leaves free at the shadow time. */
+export interface Room {
+  readonly machine: Machine;
+  readonly type: MachineType;
+  /** Attempts its ledger record still has room for. */
+  slots: number;
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+  shadowCpus: number;
+  shadowGpus: number;
+  shadowMemoryGb: number;
+}
+
+const EPSILON = 1e-6;
+
+const morePowerful = (a: Room, b: Room): number =>
+  b.type.gpus - a.type.gpus || b.type.cpus - a.type.cpus || b.type.memoryGb - a.type.memoryGb;
+
+/** Usable machines, the most powerful first. */
+export const roomsOf = (state: CoreState, now: Instant): Room[] => {
+  const rooms: Room[] = [];
+  for (const machine of state.machines.values()) {
+    const type = state.types.get(machine.type);
+    if (!type || !usable(machine, now)) continue;
+    const cpus = type.cpus - machine.usedCpus;
+    const gpus = type.gpus - machine.usedGpus;
+    const memoryGb = type.memoryGb - machine.usedMemoryGb;
+    const shadow = { shadowCpus: cpus, shadowGpus: gpus, shadowMemoryGb: memoryGb };
+    const slots = state.config.maxPerMachine - machine.placements.size;
+    rooms.push({ machine, type, slots, cpus, gpus, memoryGb, ...shadow });
+  }
+  return rooms.sort((a, b) => morePowerful(a, b) || (a.machine.id < b.machine.id ? -1 : 1));
+};
+
+export const mayUseMachine = (job: Job, machine: Machine): boolean => {
+  const { spec } = job;
+  if (spec.types && !spec.types.includes(machine.type)) return false;
+  if (spec.zone !== null && spec.zone !== machine.zone) return false;
+  if (machine.spot && !spec.spotOk) return false;
+  return !(job.failedOn.size < SUSPECT_MACHINES && job.failedOn.has(machine.id));
+};
+
+/** The zone rules, given where the job's other tasks may be at this moment. */
+export const zoneAllows = (job: Job, machine: Machine): boolean => {
+  const { spec, heldByZone } = job;
+  if (spec.oneZone && heldByZone.size > 0 && !(heldByZone.size === 1 && heldByZone.has(machine.zone))) {
+    return false;
+  }
+  if (spec.scatter && (heldByZone.get(machine.zone) ?? 0) >= Math.ceil(spec.tasks / 2)) return false;
+  return true;
+};
+
+const fitsNow = (job: Job, room: Room): boolean =>
+  room.slots > 0 &&
+  room.cpus + EPSILON >= job.spec.cpus &&
+  room.gpus + EPSILON >= job.spec.gpus &&
+  room.memoryGb + EPSILON >= job.spec.memoryGb;
+
+const fitsShadow = (job: Job, room: Room): boolean =>
+  room.shadowCpus + EPSILON >= job.spec.cpus &&
+  room.shadowGpus + EPSILON >= job.spec.gpus &&
+  room.shadowMemoryGb + EPSILON >= job.spec.memoryGb;
+
+const takeShadow = (job: Job, room: Room): void => {
+  room.shadowCpus -= job.spec.cpus;
+  room.shadowGpus -= job.spec.gpus;
+  room.shadowMemoryGb -= job.spec.memoryGb;
+};
+
+/** How many more tasks the team's limit allows. */
+export const teamRoom = (state: CoreState, job: Job): number => {
+  const team = state.config.teams.get(job.spec.team);
+  if (!team) return 0;
+  const used = state.usage.get(team.name) ?? { cpus: 0, gpus: 0 };
+  let room = Number.POSITIVE_INFINITY;
+  if (job.spec.cpus > 0) room = Math.min(room, (team.cpusMax - used.cpus + EPSILON) / job.spec.cpus);
+  if (job.spec.gpus > 0) room = Math.min(room, (team.gpusMax - used.gpus + EPSILON) / job.spec.gpus);
+  return Math.max(0, Math.floor(room));
+};
+
+const fetchMs = (job: Job, room: Room): number =>
+  room.machine.images.has(job.spec.image)
+    ? 0
+    : (job.spec.imageGb / Math.max(room.type.fetchGbPerS, 0.01)) * 1000;
+
+/** When a running attempt should end by its estimate; an overrun counts as ending soon. */
+export const estimatedEnd = (p: Placement, now: Instant): number => {
+  const estimate = (p.job?.spec.estimateS ?? 0) * 1000;
+  const end = (p.startedAt ?? p.placedAt) + estimate;
+  return Math.max(end, now + Math.max(1000, estimate / 4));
+};
+
+const bestRoom = (job: Job, rooms: readonly Room[], allowed: (room: Room) => boolean): Room | null => {
+  let best: Room | null = null;
+  for (const room of rooms) {
+    if (best && morePowerful(best, room) < 0) break;
+    if (!fitsNow(job, room) || !mayUseMachine(job, room.machine) || !zoneAllows(job, room.machine)) continue;
+    if (!allowed(room)) continue;
+    // Among equals one that has the image starts sooner.
+    if (!best || (!best.machine.images.has(job.spec.image) && room.machine.images.has(job.spec.image)))
+      best = room;
+    if (best.machine.images.has(job.spec.image)) break;
+  }
+  return best;
+};
+
+/** A job with one zone starts where most of it fits. */
+const chooseZone = (job: Job, rooms: readonly Room[]): string | null => {
+  if (!job.spec.oneZone || job.heldByZone.size > 0) return null;
+  const slots = new Map<string, number>();
+  for (const room of rooms) {
+    if (!fitsNow(job, room) || !mayUseMachine(job, room.machine)) continue;
+    const n = job.spec.cpus > 0 ? Math.floor((room.cpus + EPSILON) / job.spec.cpus) : 1;
+    slots.set(room.machine.zone, (slots.get(room.machine.zone) ?? 0) + n);
+  }
+  let best: string | null = null;
+  for (const [zone, n] of slots) if (best === null || n > (slots.get(best) ?? 0)) best = zone;
+  return best;
+};
+
+const place = (state: CoreState, job: Job, room: Room, now: Instant): Placement | null => {
+  const index = takePending(job);
+  if (index === null) return null;
+  if (state.nextAttempt >= ATTEMPTS_PER_TERM) {
+    job.returned.push(index);
+    return null;
+  }
+  const attempt = (state.config.term * ATTEMPTS_PER_TERM + state.nextAttempt) as Attempt;
+  state.nextAttempt += 1;
+  const { id, team, cpus, gpus, memoryGb } = job.spec;
+  const entry: LedgerEntry = { job: id, index, attempt, team, cpus, gpus, memoryGb };
+  const placement: Placement = {
+    entry,
+    machine: room.machine,
+    job,
+    placedAt: now,
+    phase: 'entering',
+    startedAt: null,
+    kill: null,
+    needs: null,
+  };
+  hold(state, placement);
+  room.machine.ledgerDirty = true;
+  room.machine.images.add(job.spec.image);
+  room.slots -= 1;
+  room.cpus -= cpus;
+  room.gpus -= gpus;
+  room.memoryGb -= memoryGb;
+  return placement;
+};
+
+interface PlaceResult {
+  readonly placed: Placement[];
+  readonly blockedBy: string;
+}
+
+const placeJob = (
+  state: CoreState,
+  job: Job,
+  rooms: readonly Room[],
+  now: Instant,
+  shadowAt: number,
+): PlaceResult => {
+  const placed: Placement[] = [];
+  const zone = chooseZone(job, rooms);
+  const suspect = job.failedOn.size >= SUSPECT_MACHINES;
+  while (job.pending > 0) {
+    if (suspect && job.held.size > 0) return { placed, blockedBy: 'its tasks fail on every machine' };
+    if (teamRoom(state, job) < 1) return { placed, blockedBy: 'team limit' };
+    let reserved = false;
+    const room = bestRoom(job, rooms, (r) => {
+      if (zone !== null && r.machine.zone !== zone) return false;
+      if (shadowAt === 0 || fitsShadow(job, r)) return true;
+      if (now + job.spec.estimateS * 1000 + fetchMs(job, r) <= shadowAt) return true;
+      reserved = true;
+      return false;
+    });
+    if (!room) return { placed, blockedBy: reserved ? 'room reserved for the head' : 'no machine with room' };
+    const outlasts = shadowAt === 0 || now + job.spec.estimateS * 1000 + fetchMs(job, room) > shadowAt;
+    const placement = place(state, job, room, now);
+    if (!placement) return { placed, blockedBy: 'no attempt number left' };
+    if (outlasts) takeShadow(job, room);
+    placed.push(placement);
+  }
+  return { placed, blockedBy: '' };
+};
+
+/** Lets the running attempts end in the order of their estimates until the head's missing tasks fit. */
+export const reserveForHead = (job: Job, missing: number, rooms: readonly Room[], now: Instant): number => {
+  const allowed = rooms.filter((r) => mayUseMachine(job, r.machine) && zoneAllows(job, r.machine));
+  const ends: { at: number; room: Room; p: Placement }[] = [];
+  for (const room of rooms) {
+    for (const p of room.machine.placements.values()) {
+      if (occupies(p.phase)) ends.push({ at: estimatedEnd(p, now), room, p });
+    }
+  }
+  ends.sort((a, b) => a.at - b.at || a.p.entry.attempt - b.p.entry.attempt);
+  const allowedSet = new Set(allowed);
+  let left = missing;
+  let shadow = 0;
+  for (const end of ends) {
+    if (left <= 0) break;
+    end.room.shadowCpus += end.p.entry.cpus;
+    end.room.shadowGpus += end.p.entry.gpus;
+    end.room.shadowMemoryGb += end.p.entry.memoryGb;
+    if (!allowedSet.has(end.room)) continue;
+    while (left > 0 && fitsShadow(job, end.room)) {
+      takeShadow(job, end.room);
+      left -= 1;
+      shadow = end.at;
+    }
+  }
+  return shadow;
+};
+
+export interface Round {
+  readonly placed: Placement[];
+  readonly ranked: Ranked<Job>[];
+}
+
+const fleetGpus = (state: CoreState): Map<TypeName, number> => {
+  const total = new Map<TypeName, number>();
+  for (const m of state.machines.values()) {
+    const gpus = state.types.get(m.type)?.gpus ?? 0;
+    if (gpus > 0) total.set(m.type, (total.get(m.type) ?? 0) + gpus);
+  }
+  return total;
+};
+
+/** Jobs that wait, ranked; those whose tasks fail everywhere are left out until their pause is over. */
+export const rankWaiting = (state: CoreState, now: Instant): Ranked<Job>[] => {
+  const waiting: Job[] = [];
+  for (const job of state.jobs.values()) {
+    if (job.final !== 'none' || job.pending <= 0) continue;
+    if (now < job.retryAt) {
+      job.blockedBy = 'pausing after failures';
+      continue;
+    }
+    waiting.push(job);
+  }
+  return rankJobs(waiting, state.types, fleetGpus(state), now, state.config.policy);
+};
+
+export const runRound = (state: CoreState, now: Instant): Round => {
+  const ranked = rankWaiting(state, now);
+  const placed: Placement[] = [];
+  state.shadowAt = null;
+  if (ranked.length === 0) {
+    state.head = null;
+    return { placed, ranked };
+  }
+  // A job that fails everywhere grows old and would seize the head: it may wait, but not reserve.
+  const canHead = (job: Job) => job.failedOn.size < SUSPECT_MACHINES;
+  let head = ranked.find((r) => r.job.spec.id === state.head && canHead(r.job)) ?? null;
+  head ??= ranked.find((r) => canHead(r.job)) ?? null;
+  state.head = head?.job.spec.id ?? null;
+  const rooms = roomsOf(state, now);
+  let shadowAt = 0;
+  if (head) {
+    const result = placeJob(state, head.job, rooms, now, 0);
+    placed.push(...result.placed);
+    head.job.blockedBy = result.blockedBy;
+    const missing = Math.min(head.job.pending, teamRoom(state, head.job));
+    if (missing > 0) {
+      for (const room of rooms) {
+        room.shadowCpus = room.cpus;
+        room.shadowGpus = room.gpus;
+        room.shadowMemoryGb = room.memoryGb;
+      }
+      shadowAt = reserveForHead(head.job, missing, rooms, now);
+      if (shadowAt > 0) state.shadowAt = shadowAt as Instant;
+    }
+  }
+  for (const { job } of ranked) {
+    if (job === head?.job) continue;
+    const result = placeJob(state, job, rooms, now, shadowAt);
+    placed.push(...result.placed);
+    job.blockedBy = result.blockedBy;
+  }
+  // The head has started: the next round names a new one by score.
+  if (head && head.job.pending <= 0) state.head = null;
+  return { placed, ranked };
+};
--- /dev/null
+++ b/src/core/fleet.ts
@@ -0,0 +1,334 @@
+/** Which machines to rent, replace and return. */
+import { mayUseMachine, teamRoom } from './backfill.js';
+import {
+  type CoreState,
+  type Job,
+  type Machine,
+  newMachine,
+  occupies,
+  type RentOption,
+  release,
+} from './state.js';
+import {
+  type Effect,
+  type Instant,
+  type ListedMachine,
+  later,
+  type MachineId,
+  type MachineType,
+  type Millis,
+  type RequestName,
+  seconds,
+} from './types.js';
+
+const RENT_MAX = 50;
+const DELETE_MAX = 100;
+const RENT_ANSWER_MS = 15_000 as Millis;
+
+export const setTypes = (state: CoreState, types: readonly MachineType[]): void => {
+  state.types.clear();
+  for (const type of types) {
+    state.types.set(type.name, type);
+    for (const zone of type.zones) {
+      for (const spot of [true, false]) {
+        const key = `${type.name}/${zone}/${spot ? 'spot' : 'ordinary'}`;
+        const old = state.options.get(key);
+        state.options.set(key, {
+          key,
+          type,
+          zone,
+          spot,
+          blockedUntil: old?.blockedUntil ?? (0 as Instant),
+          refusals: old?.refusals ?? 0,
+          outstanding: old?.outstanding ?? null,
+        });
+      }
+    }
+  }
+  state.placementDue = true;
+};
+
+const counted = (m: Machine): boolean =>
+  !m.draining && !m.deleting && m.lostAt === null && m.noticeUntil === null;
+
+export const rented = (
+  state: CoreState,
+  request: RequestName,
+  result: 'ok' | 'refused' | 'unknown',
+  ids: readonly MachineId[],
+  now: Instant,
+): void => {
+  for (const option of state.options.values()) {
+    if (option.outstanding?.request !== request) continue;
+    const asked = option.outstanding.count;
+    option.outstanding = null;
+    if (result === 'ok') {
+      const { type, zone, spot } = option;
+      for (const id of ids) {
+        if (state.gone.has(id) || state.machines.has(id)) continue;
+        state.machines.set(id, newMachine(id, { endpoint: '', type: type.name, zone, spot }, now, now));
+      }
+    }
+    if (result === 'ok' && ids.length >= asked) option.refusals = 0;
+    else {
+      option.refusals = Math.min(option.refusals + 1, 4);
+      option.blockedUntil = later(now, seconds(4 * option.refusals));
+    }
+  }
+};
+
+export const listed = (
+  state: CoreState,
+  askedAt: Instant,
+  list: readonly ListedMachine[],
+  now: Instant,
+): void => {
+  const names = new Set<MachineId>();
+  for (const item of list) {
+    names.add(item.id);
+    if (state.gone.has(item.id)) continue;
+    let m = state.machines.get(item.id);
+    if (!m) {
+      const rentedAt = (askedAt - item.ageS * 1000) as Instant;
+      m = newMachine(item.id, item, rentedAt, now);
+      state.machines.set(item.id, m);
+    }
+    m.listed = true;
+    if (!m.endpoint) m.endpoint = item.endpoint;
+    if (item.status === 'failed') m.draining = true;
+    if (item.status === 'failed' && m.lostAt === null) m.lostAt = now;
+  }
+  // A list may be older than the one before it: absence counts only for machines known for long enough.
+  const grace = 3 * state.config.listLagMs + 2000;
+  for (const m of state.machines.values()) {
+    if (names.has(m.id) || askedAt - m.rentedAt < grace) continue;
+    if (m.everSeen ? now - m.lastSeen > 2 * state.config.reportMs : true) {
+      m.lostAt ??= now;
+      m.draining = true;
+    }
+  }
+};
+
+/** The machine and everything on it is certainly gone. */
+export const removeMachine = (state: CoreState, m: Machine, now: Instant): void => {
+  for (const p of [...m.placements.values()]) release(state, p, now);
+  m.placements.clear();
+  state.machines.delete(m.id);
+  state.gone.add(m.id);
+  if (m.ledgerStored || m.ledgerSaving) state.ledgerDrops.add(m.id);
+};
+
+export const deleted = (state: CoreState, ids: readonly MachineId[], ok: boolean, now: Instant): void => {
+  for (const id of ids) {
+    const m = state.machines.get(id);
+    if (!m) continue;
+    if (ok) removeMachine(state, m, now);
+    else {
+      m.deleting = false;
+      m.deleteAfter = later(now, 2000 as Millis);
+    }
+  }
+};
+
+/** Until when a worker that has not been answered since could still hold its tasks. */
+export const leaseSurelyOver = (state: CoreState, m: Machine): number => {
+  const { acquiredAt, keepAliveMs, leaseMs } = state.config;
+  // Until it has taken our term, a former leader may go on answering it for a bounded time.
+  const base = m.ready ? m.lastSeen : Math.max(m.lastSeen, acquiredAt + keepAliveMs);
+  return base + leaseMs * 1.002 + 1000;
+};
+
+const noteSilence = (state: CoreState, now: Instant): void => {
+  const { reportMs, leaseMs, policy } = state.config;
+  const limit = policy.silentReports * reportMs;
+  let silent = 0;
+  let seen = 0;
+  for (const m of state.machines.values()) {
+    if (!m.everSeen) continue;
+    seen += 1;
+    if (now - m.lastSeen > limit) silent += 1;
+  }
+  // When most fall silent at once the fault is more likely ours: give them time to come back.
+  const many = silent > 2 && silent * 2 > seen;
+  for (const m of state.machines.values()) {
+    const quiet = now - m.lastSeen;
+    const waits = m.everSeen || m.placements.size > 0;
+    if (waits && quiet > (many ? 2 * leaseMs : limit)) m.lostAt ??= now;
+    if (m.lostAt !== null && m.placements.size > 0 && now > leaseSurelyOver(state, m)) {
+      for (const p of [...m.placements.values()]) {
+        release(state, p, now);
+        m.placements.delete(p.entry.attempt);
+      }
+      m.ready = false;
+      m.ledgerDirty = true;
+    }
+  }
+};
+
+const deletions = (state: CoreState, now: Instant): Effect[] => {
+  const ids: MachineId[] = [];
+  const { policy } = state.config;
+  for (const m of state.machines.values()) {
+    if (m.deleting || now < m.deleteAfter || ids.length >= DELETE_MAX) continue;
+    const bootMs = (state.types.get(m.type)?.bootS ?? 60) * 1000;
+    // A new leader hears of machines that have been up for long: they get a lease's time to report to it.
+    const overdue = now - m.rentedAt > policy.bootGiveUp * bootMs + 15_000;
+    const neverUp = !m.everSeen && overdue && now - m.knownAt > state.config.leaseMs;
+    const empty = m.placements.size === 0;
+    if (m.lostAt !== null || neverUp || (m.draining && empty)) {
+      m.deleting = true;
+      ids.push(m.id);
+    }
+  }
+  return ids.length > 0 ? [{ kind: 'delete', machines: ids }] : [];
+};
+
+interface Need {
+  readonly cpus: number;
+  readonly supply: number;
+}
+
+const measure = (state: CoreState, now: Instant): Need => {
+  const { policy, teams } = state.config;
+  const byTeam = new Map<string, number>();
+  for (const job of state.jobs.values()) {
+    if (job.final !== 'none' || now < job.retryAt) continue;
+    const cpus = (job.spec.tasks - job.doneCount) * job.spec.cpus;
+    byTeam.set(job.spec.team, (byTeam.get(job.spec.team) ?? 0) + cpus);
+    state.lastWorkAt = now;
+  }
+  let demand = 0;
+  let guarantees = 0;
+  for (const team of teams.values()) {
+    demand += Math.min(byTeam.get(team.name) ?? 0, team.cpusMax);
+    guarantees += team.cpus;
+  }
+  let supply = 0;
+  for (const m of state.machines.values()) if (counted(m)) supply += state.types.get(m.type)?.cpus ?? 0;
+  for (const o of state.options.values()) supply += (o.outstanding?.count ?? 0) * o.type.cpus;
+  const busy = now - state.lastWorkAt < policy.idleReturnS * 1000;
+  const standing = busy ? policy.standingShare * guarantees : 0;
+  return { cpus: Math.max(demand * policy.headroom, standing), supply };
+};
+
+/** Cheapest per processor first; of equals the more powerful. */
+const byPrice = (a: RentOption, b: RentOption): number => {
+  const price = (o: RentOption) => (o.spot ? o.type.spotPrice : o.type.price) / Math.max(o.type.cpus, 0.1);
+  return price(a) - price(b) || b.type.cpus - a.type.cpus || (a.key < b.key ? -1 : 1);
+};
+
+const optionSuits = (job: Job, option: RentOption): boolean => {
+  const { spec } = job;
+  const { type, zone, spot } = option;
+  if (spec.types && !spec.types.includes(type.name)) return false;
+  if ((spec.zone !== null && spec.zone !== zone) || (spot && !spec.spotOk)) return false;
+  return spec.cpus <= type.cpus && spec.gpus <= type.gpus && spec.memoryGb <= type.memoryGb;
+};
+
+const rentFrom = (
+  state: CoreState,
+  options: readonly RentOption[],
+  cpus: number,
+  now: Instant,
+  effects: Effect[],
+): void => {
+  let missing = cpus;
+  for (const option of options) {
+    if (missing <= 0) return;
+    if (option.outstanding || now < option.blockedUntil || effects.length >= 4) continue;
+    const count = Math.min(RENT_MAX, Math.max(1, Math.ceil(missing / Math.max(option.type.cpus, 0.1))));
+    state.nextRequest += 1;
+    const request = `r-${state.config.term}-${state.nextRequest}` as RequestName;
+    option.outstanding = { request, count, askedAt: now };
+    effects.push({
+      kind: 'rent',
+      request,
+      type: option.type.name,
+      zone: option.zone,
+      spot: option.spot,
+      count,
+    });
+    missing -= count * option.type.cpus;
+  }
+};
+
+const rentals = (state: CoreState, now: Instant): Effect[] => {
+  const effects: Effect[] = [];
+  for (const option of state.options.values()) {
+    if (option.outstanding && now - option.outstanding.askedAt > RENT_ANSWER_MS) option.outstanding = null;
+  }
+  const need = measure(state, now);
+  const options = [...state.options.values()].sort(byPrice);
+  const jobs = [...state.jobs.values()].filter((j) => j.final === 'none' && j.pending > 0);
+  if (need.supply < need.cpus) {
+    const useful = jobs.length > 0 ? options.filter((o) => jobs.some((j) => optionSuits(j, o))) : options;
+    rentFrom(state, useful, need.cpus - need.supply, now, effects);
+  }
+  // Jobs that only a few kinds of machine suit: see that at least their own share of those is there.
+  let checked = 0;
+  for (const job of jobs) {
+    if (effects.length >= 4 || checked >= 50) break;
+    checked += 1;
+    const limit = Math.min(job.pending, teamRoom(state, job));
+    if (limit <= 0 || now < job.retryAt) continue;
+    let slots = 0;
+    for (const m of state.machines.values()) {
+      const type = state.types.get(m.type);
+      if (!type || !counted(m) || !mayUseMachine(job, m)) continue;
+      if (job.spec.cpus > type.cpus || job.spec.gpus > type.gpus || job.spec.memoryGb > type.memoryGb)
+        continue;
+      slots += 1;
+    }
+    for (const o of options) if (o.outstanding && optionSuits(job, o)) slots += o.outstanding.count;
+    if (slots > 0) continue;
+    const suits = options.filter((o) => optionSuits(job, o));
+    rentFrom(state, suits, limit * Math.max(job.spec.cpus, 0.1), now, effects);
+  }
+  return effects;
+};
+
+const returnIdle = (state: CoreState, now: Instant): void => {
+  const need = measure(state, now);
+  let spare = need.supply - need.cpus;
+  for (const m of state.machines.values()) {
+    if (spare <= 0) return;
+    if (!counted(m) || !m.everSeen || m.placements.size > 0) continue;
+    if (now - m.idleSince < state.config.policy.idleReturnS * 1000) continue;
+    const cpus = state.types.get(m.type)?.cpus ?? 0;
+    if (cpus > spare) continue;
+    spare -= cpus;
+    m.draining = true;
+  }
+};
+
+/** A machine that fails tasks of several jobs is faulty: no more work for it, then it is replaced. */
+export const quarantine = (state: CoreState, m: Machine, now: Instant): boolean => {
+  if (m.draining || m.failedJobs.size < 2) return false;
+  let drained = 0;
+  for (const other of state.machines.values()) if (other.draining) drained += 1;
+  if (drained > Math.max(1, state.machines.size * 0.2)) return false;
+  m.draining = true;
+  m.deleteAfter = now;
+  return true;
+};
+
+/** A machine about to be taken: tasks that cannot end in time save or start again elsewhere at once. */
+export const drainNoticed = (m: Machine, now: Instant): void => {
+  if (m.noticeUntil === null) return;
+  const left = m.noticeUntil - now;
+  for (const p of m.placements.values()) {
+    if (!occupies(p.phase) || p.kill) continue;
+    const estimate = (p.job?.spec.estimateS ?? 0) * 1000;
+    const end = p.phase === 'running' && p.startedAt !== null ? p.startedAt + estimate : now + estimate;
+    if (end <= now + left) continue;
+    const saves = (p.job?.spec.checkpointS ?? 0) > 0;
+    p.kill = { graceS: saves ? Math.max(0, left / 1000 - 0.5) : 0, sentAt: null };
+  }
+};
+
+export const manageFleet = (state: CoreState, now: Instant): Effect[] => {
+  noteSilence(state, now);
+  for (const m of state.machines.values()) drainNoticed(m, now);
+  returnIdle(state, now);
+  return [...deletions(state, now), ...rentals(state, now)];
+};
--- /dev/null
+++ b/src/core/rank.ts
@@ -0,0 +1,113 @@
+/**
+ * The weighted score of a waiting job: aging, deadline, scarcity and shortness
+ * (Capannini et al., "Backfilling Strategies for Scheduling Streams of Jobs on Computational Farms").
+ */
+import type { Instant, JobSpec, MachineType, Policy, TypeName } from './types.js';
+
+export interface Waiting {
+  readonly spec: JobSpec;
+  readonly submittedAt: Instant;
+  /** Tasks that wait for a machine. */
+  readonly pending: number;
+}
+
+export interface Scores {
+  readonly aging: number;
+  readonly deadline: number;
+  readonly scarcity: number;
+  readonly shortness: number;
+  readonly total: number;
+}
+
+export interface Scarcity {
+  /** Requests over total for each GPU type, the kind that stands for a licence. */
+  readonly ratio: ReadonlyMap<TypeName, number>;
+  /** How many kinds are ample, at least 1. */
+  readonly ample: number;
+}
+
+const gpuKinds = (spec: JobSpec, types: ReadonlyMap<TypeName, MachineType>): TypeName[] => {
+  if (spec.gpus <= 0) return [];
+  const names = spec.types ?? [...types.keys()];
+  return names.filter((name) => (types.get(name)?.gpus ?? 0) >= spec.gpus);
+};
+
+/** `total` holds the GPUs of each type that the fleet has now. */
+export const measureScarcity = (
+  waiting: Iterable<Waiting>,
+  types: ReadonlyMap<TypeName, MachineType>,
+  total: ReadonlyMap<TypeName, number>,
+): Scarcity => {
+  const requests = new Map<TypeName, number>();
+  for (const job of waiting) {
+    for (const kind of gpuKinds(job.spec, types)) {
+      requests.set(kind, (requests.get(kind) ?? 0) + job.spec.gpus * job.pending);
+    }
+  }
+  const ratio = new Map<TypeName, number>();
+  let ample = 0;
+  for (const [kind, asked] of requests) {
+    const value = asked / Math.max(total.get(kind) ?? 0, 1);
+    ratio.set(kind, value);
+    if (value <= 1) ample += 1;
+  }
+  return { ratio, ample: Math.max(ample, 1) };
+};
+
+export const deadlineScore = (spec: JobSpec, submittedAt: Instant, now: Instant, policy: Policy): number => {
+  if (spec.deadlineS === null) return 0;
+  const estimate = spec.estimateS * 1000;
+  const deadline = submittedAt + spec.deadlineS * 1000;
+  const over = policy.k * estimate;
+  const threshold = deadline - over;
+  const end = now + estimate;
+  if (end > deadline) return 0;
+  if (end < threshold || over <= 0) return policy.min;
+  return policy.min + ((policy.max - policy.min) / over) * (end - threshold);
+};
+
+export const scoreJob = (
+  job: Waiting,
+  shortestS: number,
+  scarcity: Scarcity,
+  types: ReadonlyMap<TypeName, MachineType>,
+  now: Instant,
+  policy: Policy,
+): Scores => {
+  const aging = (policy.ageFactor * (now - job.submittedAt)) / 3_600_000;
+  const deadline = policy.deadlineWeight * deadlineScore(job.spec, job.submittedAt, now, policy);
+  let rare = 0;
+  for (const kind of gpuKinds(job.spec, types)) {
+    const value = scarcity.ratio.get(kind) ?? 0;
+    rare += value > 1 ? scarcity.ample * value : value;
+  }
+  const scarce = policy.scarcityWeight * rare;
+  const shortness = policy.shortnessWeight * (job.spec.estimateS > 0 ? shortestS / job.spec.estimateS : 1);
+  return { aging, deadline, scarcity: scarce, shortness, total: aging + deadline + scarce + shortness };
+};
+
+export interface Ranked<T extends Waiting> {
+  readonly job: T;
+  readonly scores: Scores;
+}
+
+/** Highest score first; the earlier submission, then the id, decide ties. */
+export const rankJobs = <T extends Waiting>(
+  waiting: readonly T[],
+  types: ReadonlyMap<TypeName, MachineType>,
+  total: ReadonlyMap<TypeName, number>,
+  now: Instant,
+  policy: Policy,
+): Ranked<T>[] => {
+  const scarcity = measureScarcity(waiting, types, total);
+  let shortest = Number.POSITIVE_INFINITY;
+  for (const job of waiting) shortest = Math.min(shortest, job.spec.estimateS);
+  return waiting
+    .map((job) => ({ job, scores: scoreJob(job, shortest, scarcity, types, now, policy) }))
+    .sort(
+      (a, b) =>
+        b.scores.total - a.scores.total ||
+        a.job.submittedAt - b.job.submittedAt ||
+        (a.job.spec.id < b.job.spec.id ? -1 : 1),
+    );
+};
--- /dev/null
+++ b/src/core/state.ts
@@ -0,0 +1,360 @@
+/** What the leader knows: jobs, machines and the attempts that may be on them. */
+import type {
+  Attempt,
+  ImageName,
+  Instant,
+  JobId,
+  JobSpec,
+  LedgerEntry,
+  MachineId,
+  MachineType,
+  Millis,
+  Policy,
+  RequestName,
+  TaskIndex,
+  Team,
+  TeamName,
+  Term,
+  Ticket,
+  TypeName,
+  ZoneName,
+} from './types.js';
+
+/** Tasks in one progress record: 2 KiB of bits, well under the state service's value limit. */
+export const CHUNK_TASKS = 8192;
+/** Attempts a term may give out; their numbers hold the term, so none is ever given twice. */
+export const ATTEMPTS_PER_TERM = 1_000_000;
+
+export interface CoreConfig {
+  readonly term: Term;
+  readonly acquiredAt: Instant;
+  readonly teams: ReadonlyMap<TeamName, Team>;
+  readonly policy: Policy;
+  readonly reportMs: Millis;
+  readonly leaseMs: Millis;
+  /** How long a leader without a valid lease may go on answering check-ins. */
+  readonly keepAliveMs: Millis;
+  readonly listLagMs: Millis;
+  readonly txnOps: number;
+  /** Attempts that one machine's ledger record has room for. */
+  readonly maxPerMachine: number;
+}
+
+/**
+ * recorded: in the ledger of a former leader, its machine has not answered for it yet;
+ * entering: its ledger entry is being written; offered: its start goes out with every answer;
+ * the rest as the worker reports.
+ */
+export type Phase = 'recorded' | 'entering' | 'offered' | 'fetching' | 'running' | 'saving' | 'ended';
+
+export interface Placement {
+  readonly entry: LedgerEntry;
+  readonly machine: Machine;
+  /** null when the job is over or unknown: then it is only counted and killed. */
+  readonly job: Job | null;
+  readonly placedAt: Instant;
+  phase: Phase;
+  startedAt: Instant | null;
+  kill: { graceS: number; sentAt: Instant | null } | null;
+  /** The progress chunk and version that must be persisted before the worker may drop the result. */
+  needs: { chunk: number; version: number } | null;
+}
+
+export interface Chunk {
+  bits: Uint8Array;
+  version: number;
+  saved: number;
+  saving: number;
+}
+
+export interface Job {
+  readonly spec: JobSpec;
+  readonly submittedAt: Instant;
+  readonly chunks: Map<number, Chunk>;
+  doneCount: number;
+  /** Next task never placed under this term. */
+  cursor: number;
+  /** Tasks that came back and wait again. */
+  readonly returned: number[];
+  /** How many tasks wait for a machine. */
+  pending: number;
+  /** Attempts that may be on a machine, by task. */
+  readonly held: Map<TaskIndex, Placement[]>;
+  readonly heldByZone: Map<ZoneName, number>;
+  /** Machines on which a task failed since the last success. */
+  readonly failedOn: Set<MachineId>;
+  retryAt: Instant;
+  failures: number;
+  final: 'none' | 'done' | 'cancelled';
+  finalSaving: boolean;
+  abortTickets: Ticket[];
+  blockedBy: string;
+}
+
+export interface Machine {
+  readonly id: MachineId;
+  endpoint: string;
+  type: TypeName;
+  zone: ZoneName;
+  spot: boolean;
+  rentedAt: Instant;
+  /** When this leader first heard of it. */
+  readonly knownAt: Instant;
+  session: number;
+  seq: number;
+  /** The session of a report that this leader has answered; 0 for none. */
+  answeredSession: number;
+  /** Its last report carried our term on a session that we answered. */
+  ready: boolean;
+  everSeen: boolean;
+  listed: boolean;
+  lastSeen: Instant;
+  lostAt: Instant | null;
+  noticeUntil: Instant | null;
+  draining: boolean;
+  deleting: boolean;
+  deleteAfter: Instant;
+  readonly placements: Map<Attempt, Placement>;
+  usedCpus: number;
+  usedGpus: number;
+  usedMemoryGb: number;
+  idleSince: Instant;
+  readonly images: Set<ImageName>;
+  /** Failed tasks since the last success, by job. */
+  readonly failedJobs: Set<JobId>;
+  fullUntil: Instant;
+  ledgerDirty: boolean;
+  ledgerSaving: boolean;
+  ledgerStored: boolean;
+  ticket: { ticket: Ticket; since: Instant } | null;
+}
+
+export interface RentOption {
+  readonly key: string;
+  readonly type: MachineType;
+  readonly zone: ZoneName;
+  readonly spot: boolean;
+  blockedUntil: Instant;
+  refusals: number;
+  outstanding: { request: RequestName; count: number; askedAt: Instant } | null;
+}
+
+export interface Batch {
+  readonly id: number;
+  readonly ledgers: Machine[];
+  readonly entered: Placement[];
+  readonly gone: MachineId[];
+  readonly chunks: { job: Job; chunk: number; version: number }[];
+  readonly finals: Job[];
+}
+
+export interface CoreState {
+  readonly config: CoreConfig;
+  loaded: boolean;
+  placeFrom: Instant;
+  readonly jobs: Map<JobId, Job>;
+  readonly machines: Map<MachineId, Machine>;
+  /** Machines that a cloud delete has removed; what they still say is late and changes nothing. */
+  readonly gone: Set<MachineId>;
+  readonly types: Map<TypeName, MachineType>;
+  readonly options: Map<string, RentOption>;
+  readonly usage: Map<TeamName, { cpus: number; gpus: number }>;
+  head: JobId | null;
+  nextAttempt: number;
+  nextRequest: number;
+  nextBatch: number;
+  batch: Batch | null;
+  /** Ledger keys to drop, of machines that are gone. */
+  readonly ledgerDrops: Set<MachineId>;
+  readonly dirtyChunks: Map<string, { job: Job; chunk: number }>;
+  readonly dirtyFinals: Set<Job>;
+  dirtySince: Instant | null;
+  placementDue: boolean;
+  lastWorkAt: Instant;
+  lastTick: Instant;
+  lastPlaced: Instant;
+  shadowAt: Instant | null;
+}
+
+export const createCore = (config: CoreConfig): CoreState => ({
+  config,
+  loaded: false,
+  placeFrom: Number.POSITIVE_INFINITY as Instant,
+  jobs: new Map(),
+  machines: new Map(),
+  gone: new Set(),
+  types: new Map(),
+  options: new Map(),
+  usage: new Map(),
+  head: null,
+  nextAttempt: 0,
+  nextRequest: 0,
+  nextBatch: 1,
+  batch: null,
+  ledgerDrops: new Set(),
+  dirtyChunks: new Map(),
+  dirtyFinals: new Set(),
+  dirtySince: null,
+  placementDue: false,
+  lastWorkAt: config.acquiredAt,
+  lastTick: config.acquiredAt,
+  lastPlaced: config.acquiredAt,
+  shadowAt: null,
+});
+
+export const newJob = (spec: JobSpec, submittedAt: Instant): Job => ({
+  spec,
+  submittedAt,
+  chunks: new Map(),
+  doneCount: 0,
+  cursor: 0,
+  returned: [],
+  pending: spec.tasks,
+  held: new Map(),
+  heldByZone: new Map(),
+  failedOn: new Set(),
+  retryAt: 0 as Instant,
+  failures: 0,
+  final: 'none',
+  finalSaving: false,
+  abortTickets: [],
+  blockedBy: '',
+});
+
+export const isDone = (job: Job, index: TaskIndex): boolean => {
+  const bits = job.chunks.get(Math.floor(index / CHUNK_TASKS))?.bits;
+  const at = index % CHUNK_TASKS;
+  return bits !== undefined && ((bits[at >> 3] ?? 0) & (1 << (at & 7))) !== 0;
+};
+
+export const chunkOf = (job: Job, index: TaskIndex): Chunk => {
+  const number = Math.floor(index / CHUNK_TASKS);
+  let chunk = job.chunks.get(number);
+  if (!chunk) {
+    const size = Math.min(CHUNK_TASKS, job.spec.tasks - number * CHUNK_TASKS);
+    chunk = { bits: new Uint8Array(Math.ceil(size / 8)), version: 0, saved: 0, saving: 0 };
+    job.chunks.set(number, chunk);
+  }
+  return chunk;
+};
+
+/** Takes the next waiting task, or null. The caller places it or gives it back. */
+export const takePending = (job: Job): TaskIndex | null => {
+  while (job.returned.length > 0) {
+    const index = job.returned.pop() as TaskIndex;
+    if (!isDone(job, index) && !job.held.has(index)) return index;
+  }
+  while (job.cursor < job.spec.tasks) {
+    const index = job.cursor as TaskIndex;
+    job.cursor += 1;
+    if (!isDone(job, index) && !job.held.has(index)) return index;
+  }
+  return null;
+};
+
+export const recountPending = (job: Job): void => {
+  let heldOpen = 0;
+  for (const index of job.held.keys()) if (!isDone(job, index)) heldOpen += 1;
+  job.pending = Math.max(0, job.spec.tasks - job.doneCount - heldOpen);
+};
+
+export const occupies = (phase: Phase): boolean => phase !== 'ended';
+
+/** Counts an attempt on its machine, against its team and in its job. */
+export const hold = (state: CoreState, p: Placement): void => {
+  const { entry, machine, job } = p;
+  machine.placements.set(entry.attempt, p);
+  machine.usedCpus += entry.cpus;
+  machine.usedGpus += entry.gpus;
+  machine.usedMemoryGb += entry.memoryGb;
+  const usage = state.usage.get(entry.team) ?? { cpus: 0, gpus: 0 };
+  usage.cpus += entry.cpus;
+  usage.gpus += entry.gpus;
+  state.usage.set(entry.team, usage);
+  if (job) {
+    const others = job.held.get(entry.index);
+    if (others) others.push(p);
+    else {
+      job.held.set(entry.index, [p]);
+      if (!isDone(job, entry.index)) job.pending -= 1;
+    }
+    job.heldByZone.set(machine.zone, (job.heldByZone.get(machine.zone) ?? 0) + 1);
+  }
+};
+
+/** The attempt is certainly not on its machine any more: gives back what it held. */
+export const release = (state: CoreState, p: Placement, now: Instant): void => {
+  const { entry, machine, job } = p;
+  if (!occupies(p.phase)) return;
+  p.phase = 'ended';
+  machine.usedCpus -= entry.cpus;
+  machine.usedGpus -= entry.gpus;
+  machine.usedMemoryGb -= entry.memoryGb;
+  const usage = state.usage.get(entry.team);
+  if (usage) {
+    usage.cpus -= entry.cpus;
+    usage.gpus -= entry.gpus;
+  }
+  if (job) {
+    const left = (job.held.get(entry.index) ?? []).filter((other) => other !== p);
+    if (left.length > 0) job.held.set(entry.index, left);
+    else {
+      job.held.delete(entry.index);
+      if (!isDone(job, entry.index)) {
+        job.pending += 1;
+        job.returned.push(entry.index);
+      }
+    }
+    const inZone = (job.heldByZone.get(machine.zone) ?? 1) - 1;
+    if (inZone > 0) job.heldByZone.set(machine.zone, inZone);
+    else job.heldByZone.delete(machine.zone);
+  }
+  let busy = false;
+  for (const other of machine.placements.values()) busy ||= occupies(other.phase);
+  if (!busy) {
+    machine.idleSince = now;
+    machine.usedCpus = 0;
+    machine.usedGpus = 0;
+    machine.usedMemoryGb = 0;
+  }
+  state.placementDue = true;
+};
+
+export const newMachine = (
+  id: MachineId,
+  at: { endpoint: string; type: TypeName; zone: ZoneName; spot: boolean },
+  rentedAt: Instant,
+  now: Instant,
+): Machine => ({
+  id,
+  ...at,
+  rentedAt,
+  knownAt: now,
+  session: 0,
+  seq: 0,
+  answeredSession: 0,
+  ready: false,
+  everSeen: false,
+  listed: false,
+  lastSeen: now,
+  lostAt: null,
+  noticeUntil: null,
+  draining: false,
+  deleting: false,
+  deleteAfter: 0 as Instant,
+  placements: new Map(),
+  usedCpus: 0,
+  usedGpus: 0,
+  usedMemoryGb: 0,
+  idleSince: now,
+  images: new Set(),
+  failedJobs: new Set(),
+  fullUntil: 0 as Instant,
+  ledgerDirty: false,
+  ledgerSaving: false,
+  ledgerStored: false,
+  ticket: null,
+});
+
+export const usable = (m: Machine, now: Instant): boolean =>
+  m.ready && !m.draining && !m.deleting && m.lostAt === null && m.noticeUntil === null && now >= m.fullUntil;
--- /dev/null
+++ b/src/core/step.ts
@@ -0,0 +1,550 @@
+/** The core's one entry: commands in, effects out. No input or output, no clock, no randomness. */
+import { runRound, SUSPECT_MACHINES } from './backfill.js';
+import { deleted, listed, manageFleet, quarantine, rented, setTypes } from './fleet.js';
+import {
+  type Batch,
+  CHUNK_TASKS,
+  type CoreState,
+  chunkOf,
+  hold,
+  isDone,
+  type Job,
+  type Machine,
+  newJob,
+  newMachine,
+  occupies,
+  type Placement,
+  recountPending,
+  release,
+} from './state.js';
+import {
+  type Command,
+  type Effect,
+  type Instant,
+  type JobId,
+  type LedgerEntry,
+  later,
+  type MachineId,
+  type Millis,
+  type Order,
+  type Report,
+  type ReportedTask,
+  type SaveOp,
+  seconds,
+  type Ticket,
+  type TypeName,
+  type ZoneName,
+} from './types.js';
+
+/** What the service may do now: everything, only keep workers' leases alive, or nothing. */
+export type Authority = 'lead' | 'keep-alive' | 'none';
+
+/** A check-in waits at most this long for the ledger entries of its starts. */
+const ANSWER_WAIT_MS = 900;
+const MAX_ORDERS = 300;
+const TICK_MS = 500;
+/** Progress that only guards against a crash may wait this long for company. */
+const PROGRESS_WAIT_MS = 700;
+/** Rounds without an event, so that scores that change with time alone take effect. */
+const ROUND_EVERY_MS = 2000;
+const KILL_RESEND_MS = 2000;
+/** Kept well below what one transaction may hold. */
+const BATCH_BYTES = 40_000;
+const ENTRY_BYTES = 48;
+
+const note = (
+  effects: Effect[],
+  level: 'info' | 'debug',
+  text: string,
+  fields: Record<string, unknown>,
+): void => {
+  effects.push({ kind: 'note', level, text, fields });
+};
+
+// ---- jobs ----------------------------------------------------------------------------------------
+
+const addJob = (state: CoreState, spec: Job['spec'], submittedAt: Instant): void => {
+  if (state.jobs.has(spec.id)) return;
+  const job = newJob(spec, submittedAt);
+  state.jobs.set(spec.id, job);
+  state.placementDue = true;
+};
+
+const settle = (job: Job, effects: Effect[]): void => {
+  const outcome = job.final === 'cancelled' ? 'cancelled' : 'done';
+  for (const ticket of job.abortTickets) effects.push({ kind: 'settled', ticket, outcome });
+  job.abortTickets = [];
+};
+
+const abortJob = (state: CoreState, id: JobId, ticket: Ticket, effects: Effect[]): void => {
+  const job = state.jobs.get(id);
+  if (!job) {
+    effects.push({ kind: 'settled', ticket, outcome: null });
+    return;
+  }
+  job.abortTickets.push(ticket);
+  if (job.final !== 'none') return;
+  job.final = 'cancelled';
+  state.dirtyFinals.add(job);
+  // Until the result is stored the tasks run on: should the write fail, the job is not cancelled.
+};
+
+const killAll = (job: Job): void => {
+  for (const placements of job.held.values()) {
+    for (const p of placements) p.kill = { graceS: 0, sentAt: null };
+  }
+};
+
+const finishSaved = (state: CoreState, job: Job, effects: Effect[]): void => {
+  state.jobs.delete(job.spec.id);
+  if (state.head === job.spec.id) state.head = null;
+  const outcome = job.final === 'cancelled' ? 'cancelled' : 'done';
+  effects.push({ kind: 'final', job: job.spec.id, outcome, tasks: job.spec.tasks });
+  settle(job, effects);
+  killAll(job);
+  for (const m of state.machines.values()) m.failedJobs.delete(job.spec.id);
+  if (outcome === 'cancelled') for (const m of machinesOf(job)) sendKills(m, effects);
+  state.placementDue = true;
+};
+
+const machinesOf = (job: Job): Set<Machine> => {
+  const machines = new Set<Machine>();
+  for (const placements of job.held.values()) for (const p of placements) machines.add(p.machine);
+  return machines;
+};
+
+const markDone = (state: CoreState, job: Job, p: Placement, now: Instant): void => {
+  const { index } = p.entry;
+  if (index >= job.spec.tasks) return;
+  const chunk = chunkOf(job, index);
+  const number = Math.floor(index / CHUNK_TASKS);
+  if (!isDone(job, index)) {
+    const at = index % CHUNK_TASKS;
+    chunk.bits[at >> 3] = (chunk.bits[at >> 3] ?? 0) | (1 << (at & 7));
+    chunk.version += 1;
+    job.doneCount += 1;
+    state.dirtyChunks.set(`${job.spec.id}/${number}`, { job, chunk: number });
+    state.dirtySince ??= now;
+    for (const other of job.held.get(index) ?? []) {
+      if (other !== p) other.kill = { graceS: 0, sentAt: null };
+    }
+    if (job.doneCount >= job.spec.tasks && job.final === 'none') {
+      job.final = 'done';
+      state.dirtyFinals.add(job);
+    }
+  }
+  p.needs = { chunk: number, version: chunk.version };
+  job.failedOn.clear();
+  job.failures = 0;
+};
+
+const noteFailure = (state: CoreState, job: Job, m: Machine, now: Instant, effects: Effect[]): void => {
+  job.failures += 1;
+  job.failedOn.add(m.id);
+  m.failedJobs.add(job.spec.id);
+  if (job.failedOn.size >= SUSPECT_MACHINES) {
+    // The job's own mistake: the machines are not to blame, and it must neither hold the head nor burn them.
+    for (const other of state.machines.values()) other.failedJobs.delete(job.spec.id);
+    const pause = Math.min(60, 2 ** Math.min(job.failures - SUSPECT_MACHINES + 1, 6));
+    job.retryAt = later(now, seconds(Math.max(2, pause)));
+    if (state.head === job.spec.id) state.head = null;
+    note(effects, 'info', 'job fails on every machine, pausing', { job: job.spec.id, pauseS: pause });
+  } else if (quarantine(state, m, now)) {
+    note(effects, 'info', 'machine fails tasks of several jobs, replacing it', { machine: m.id });
+  }
+};
+
+// ---- reports -------------------------------------------------------------------------------------
+
+const ensureMachine = (state: CoreState, id: MachineId, report: Report | null, now: Instant): Machine => {
+  let m = state.machines.get(id);
+  if (!m) {
+    const at = {
+      endpoint: report?.endpoint ?? '',
+      type: report?.type ?? ('' as TypeName),
+      zone: report?.zone ?? ('' as ZoneName),
+      spot: report?.spot ?? true,
+    };
+    m = newMachine(id, at, now, now);
+    state.machines.set(id, m);
+  }
+  if (report) {
+    m.endpoint = report.endpoint;
+    m.type = report.type;
+    m.spot = report.spot;
+    if (m.zone !== report.zone) {
+      for (const p of m.placements.values()) {
+        if (!p.job || !occupies(p.phase)) continue;
+        const left = (p.job.heldByZone.get(m.zone) ?? 1) - 1;
+        if (left > 0) p.job.heldByZone.set(m.zone, left);
+        else p.job.heldByZone.delete(m.zone);
+        p.job.heldByZone.set(report.zone, (p.job.heldByZone.get(report.zone) ?? 0) + 1);
+      }
+      m.zone = report.zone;
+    }
+  }
+  return m;
+};
+
+/** An attempt this leader did not place: from a former leader's ledger, or found on a machine. */
+const adopt = (state: CoreState, m: Machine, entry: LedgerEntry, now: Instant): Placement => {
+  const job = state.jobs.get(entry.job) ?? null;
+  const p: Placement = {
+    entry,
+    machine: m,
+    job,
+    placedAt: now,
+    phase: 'recorded',
+    startedAt: null,
+    kill: job ? null : { graceS: 0, sentAt: null },
+    needs: null,
+  };
+  hold(state, p);
+  return p;
+};
+
+const adoptReported = (state: CoreState, m: Machine, task: ReportedTask, now: Instant): Placement => {
+  const spec = state.jobs.get(task.job)?.spec;
+  const entry: LedgerEntry = {
+    job: task.job,
+    index: task.index,
+    attempt: task.attempt,
+    team: spec?.team ?? ('' as LedgerEntry['team']),
+    cpus: spec?.cpus ?? 0,
+    gpus: spec?.gpus ?? 0,
+    memoryGb: spec?.memoryGb ?? 0,
+  };
+  const p = adopt(state, m, entry, now);
+  const rivals = (p.job?.held.get(entry.index) ?? []).length > 1;
+  if (p.job && (rivals || entry.index >= p.job.spec.tasks)) p.kill = { graceS: 0, sentAt: null };
+  m.ledgerDirty = true;
+  return p;
+};
+
+const onTask = (
+  state: CoreState,
+  p: Placement,
+  task: ReportedTask,
+  now: Instant,
+  effects: Effect[],
+): void => {
+  const { job, machine } = p;
+  if (p.phase === 'ended') return;
+  if (task.phase !== 'ended') {
+    if (task.phase === 'running' && p.startedAt === null) p.startedAt = now;
+    p.phase = task.phase;
+    if (job) machine.images.add(job.spec.image);
+    return;
+  }
+  if (task.cause === 'done' && job && job.final === 'none') markDone(state, job, p, now);
+  else if (task.cause === 'error' && job && !p.kill) noteFailure(state, job, machine, now, effects);
+  else if (task.cause === 'no_room') machine.fullUntil = later(now, 1500 as Millis);
+  else if (task.cause === 'unknown' && job) job.retryAt = later(now, seconds(2));
+  if (task.cause === 'done') machine.failedJobs.clear();
+  if (task.cause !== 'done' && job) {
+    note(effects, 'debug', 'attempt ended', {
+      job: job.spec.id,
+      task: p.entry.index,
+      machine: machine.id,
+      cause: task.cause,
+      saved: task.saved,
+    });
+  }
+  release(state, p, now);
+};
+
+const onReport = (
+  state: CoreState,
+  report: Report,
+  ticket: Ticket | null,
+  now: Instant,
+  effects: Effect[],
+): void => {
+  const refuse = () => {
+    if (ticket !== null) effects.push({ kind: 'answer', ticket, orders: null });
+  };
+  if (state.gone.has(report.machine)) return refuse();
+  const known = state.machines.get(report.machine);
+  if (
+    known &&
+    (report.session < known.session || (report.session === known.session && report.seq <= known.seq))
+  ) {
+    return refuse();
+  }
+  const m = ensureMachine(state, report.machine, report, now);
+  if (m.ticket) effects.push({ kind: 'answer', ticket: m.ticket.ticket, orders: null });
+  m.ticket = ticket === null ? null : { ticket, since: now };
+  if (!m.everSeen) note(effects, 'debug', 'machine is up', { machine: m.id, type: m.type, zone: m.zone });
+  m.session = report.session;
+  m.seq = report.seq;
+  m.everSeen = true;
+  if (ticket !== null) m.lastSeen = now;
+  if (m.lostAt !== null && !m.deleting && !(m.draining && m.placements.size === 0)) {
+    m.lostAt = null;
+  }
+  m.noticeUntil = report.noticeS === null ? null : later(now, seconds(report.noticeS));
+  // Only a report that carries our term, on a session we answered, proves what is not on the machine:
+  // a report sent before could be older than a start that a former leader's answer still brought.
+  // Nor does a reply to direct orders, which may cross the answer to a check-in that is still under way.
+  const proof = ticket !== null && report.term === state.config.term && m.answeredSession === report.session;
+  if (proof && !m.ready) {
+    m.ready = true;
+    state.placementDue = true;
+  }
+  if (m.answeredSession !== report.session) m.ready = false;
+  const seen = new Set<number>();
+  for (const task of report.tasks) {
+    seen.add(task.attempt);
+    const p = m.placements.get(task.attempt) ?? adoptReported(state, m, task, now);
+    onTask(state, p, task, now, effects);
+  }
+  if (proof) {
+    for (const p of [...m.placements.values()]) {
+      if (seen.has(p.entry.attempt) || p.phase === 'entering') continue;
+      if (p.phase === 'offered' && !p.kill) continue;
+      release(state, p, now);
+      m.placements.delete(p.entry.attempt);
+    }
+  }
+};
+
+// ---- orders --------------------------------------------------------------------------------------
+
+const reapable = (state: CoreState, p: Placement): boolean => {
+  if (!p.needs || !p.job) return true;
+  if (!state.jobs.has(p.job.spec.id)) return true;
+  const chunk = p.job.chunks.get(p.needs.chunk);
+  return chunk !== undefined && chunk.saved >= p.needs.version;
+};
+
+const ordersFor = (state: CoreState, m: Machine, now: Instant): Order[] => {
+  const orders: Order[] = [];
+  for (const p of m.placements.values()) {
+    if (orders.length >= MAX_ORDERS) break;
+    const { job, index, attempt } = p.entry;
+    if (p.phase === 'ended') {
+      if (reapable(state, p)) orders.push({ op: 'reap', job, index, attempt });
+    } else if (p.kill) {
+      if (p.phase === 'entering' || p.phase === 'offered') continue;
+      if (p.phase === 'saving' && p.kill.graceS > 0) continue;
+      orders.push({ op: 'kill', job, index, attempt, graceS: p.kill.graceS });
+      p.kill.sentAt = now;
+    } else if (p.phase === 'offered' && m.ready) {
+      orders.push({ op: 'start', job, index, attempt });
+    }
+  }
+  return orders;
+};
+
+/** Kills go straight to the worker, since its next check-in may be a while away. */
+const sendKills = (m: Machine, effects: Effect[], now?: Instant): void => {
+  if (!m.endpoint || m.session === 0) return;
+  const orders: Order[] = [];
+  for (const p of m.placements.values()) {
+    if (!p.kill || p.phase === 'entering' || p.phase === 'ended' || orders.length >= MAX_ORDERS) continue;
+    if (now !== undefined && p.kill.sentAt !== null && now - p.kill.sentAt < KILL_RESEND_MS) continue;
+    const { job, index, attempt } = p.entry;
+    orders.push({ op: 'kill', job, index, attempt, graceS: p.kill.graceS });
+    if (now !== undefined) p.kill.sentAt = now;
+  }
+  if (orders.length === 0) return;
+  effects.push({ kind: 'orders', machine: m.id, endpoint: m.endpoint, session: m.session, orders });
+};
+
+const answerTickets = (state: CoreState, now: Instant, authority: Authority, effects: Effect[]): void => {
+  for (const m of state.machines.values()) {
+    if (!m.ticket) continue;
+    const { ticket, since } = m.ticket;
+    if (authority === 'none') {
+      m.ticket = null;
+      effects.push({ kind: 'answer', ticket, orders: null });
+      continue;
+    }
+    if (authority === 'lead' && (m.ledgerDirty || m.ledgerSaving) && now - since < ANSWER_WAIT_MS) {
+      let waits = false;
+      for (const p of m.placements.values()) waits ||= p.phase === 'entering';
+      if (waits) continue;
+    }
+    m.ticket = null;
+    m.answeredSession = m.session;
+    const orders = authority === 'lead' ? ordersFor(state, m, now) : [];
+    effects.push({ kind: 'answer', ticket, orders });
+  }
+};
+
+// ---- persistence ---------------------------------------------------------------------------------
+
+const ledgerOf = (m: Machine): LedgerEntry[] => {
+  const entries: LedgerEntry[] = [];
+  for (const p of m.placements.values()) if (occupies(p.phase)) entries.push(p.entry);
+  return entries;
+};
+
+/** Gathers one batch; the next waits until this one is known to be stored. */
+const nextBatch = (state: CoreState, now: Instant, effects: Effect[]): void => {
+  if (state.batch) return;
+  const ops: SaveOp[] = [];
+  const batch: Batch = {
+    id: state.nextBatch,
+    ledgers: [],
+    entered: [],
+    gone: [],
+    chunks: [],
+    finals: [],
+  };
+  let extra = 0;
+  let bytes = 0;
+  const room = () => (bytes > BATCH_BYTES ? 0 : state.config.txnOps - ops.length - extra);
+  for (const job of state.dirtyFinals) {
+    // Its old record goes and the final one comes, and up to a transaction's worth of progress records goes.
+    const chunks = [...job.chunks.keys()].slice(0, state.config.txnOps - 2);
+    if (room() < 2 + chunks.length) break;
+    extra += 1 + chunks.length;
+    const outcome = job.final === 'cancelled' ? 'cancelled' : 'done';
+    ops.push({ kind: 'final', job: job.spec.id, outcome, tasks: job.spec.tasks, chunks });
+    batch.finals.push(job);
+    state.dirtyFinals.delete(job);
+  }
+  // Entries that starts wait for come first; a ledger that only lost entries is written with the next start.
+  for (const m of state.machines.values()) {
+    if (room() < 1) break;
+    if (!m.ledgerDirty) continue;
+    m.ledgerDirty = false;
+    m.ledgerSaving = true;
+    batch.ledgers.push(m);
+    for (const p of m.placements.values()) if (p.phase === 'entering') batch.entered.push(p);
+    const entries = ledgerOf(m);
+    bytes += 100 + entries.length * ENTRY_BYTES;
+    ops.push({ kind: 'ledger', machine: m.id, entries });
+  }
+  const progressDue = state.dirtySince !== null && now - state.dirtySince >= PROGRESS_WAIT_MS;
+  if (progressDue || ops.length > 0) {
+    for (const [key, { job, chunk: number }] of state.dirtyChunks) {
+      if (room() < 1) break;
+      state.dirtyChunks.delete(key);
+      if (!state.jobs.has(job.spec.id) || job.final !== 'none') continue;
+      const chunk = job.chunks.get(number)!;
+      bytes += 100 + chunk.bits.length * 1.4;
+      batch.chunks.push({ job, chunk: number, version: chunk.version });
+      ops.push({ kind: 'progress', job: job.spec.id, chunk: number, bits: chunk.bits.slice() });
+    }
+    state.dirtySince = state.dirtyChunks.size > 0 ? now : null;
+    for (const id of state.ledgerDrops) {
+      if (room() < 1) break;
+      state.ledgerDrops.delete(id);
+      batch.gone.push(id);
+      ops.push({ kind: 'ledger', machine: id, entries: null });
+    }
+  }
+  if (ops.length === 0) return;
+  state.nextBatch += 1;
+  state.batch = batch;
+  effects.push({ kind: 'save', batch: batch.id, ops });
+};
+
+const onSaved = (state: CoreState, id: number, effects: Effect[]): void => {
+  const batch = state.batch;
+  if (!batch || batch.id !== id) return;
+  state.batch = null;
+  for (const m of batch.ledgers) {
+    m.ledgerSaving = false;
+    m.ledgerStored = true;
+  }
+  for (const p of batch.entered) if (p.phase === 'entering') p.phase = 'offered';
+  for (const { job, chunk, version } of batch.chunks) {
+    const c = job.chunks.get(chunk);
+    if (c) c.saved = Math.max(c.saved, version);
+  }
+  for (const job of batch.finals) finishSaved(state, job, effects);
+};
+
+// ---- the step ------------------------------------------------------------------------------------
+
+const apply = (state: CoreState, command: Command, now: Instant, effects: Effect[]): void => {
+  switch (command.kind) {
+    case 'job':
+      return addJob(state, command.spec, command.submittedAt);
+    case 'progress': {
+      const job = state.jobs.get(command.job);
+      if (!job) return;
+      const chunk = chunkOf(job, (command.chunk * CHUNK_TASKS) as never);
+      chunk.bits.set(command.bits.subarray(0, chunk.bits.length));
+      let done = 0;
+      for (const { bits } of job.chunks.values()) {
+        for (let byte of bits) for (; byte > 0; byte &= byte - 1) done += 1;
+      }
+      job.doneCount = done;
+      recountPending(job);
+      return;
+    }
+    case 'ledger': {
+      const m = ensureMachine(state, command.machine, null, now);
+      m.ledgerStored = true;
+      for (const entry of command.entries) {
+        const job = state.jobs.get(entry.job);
+        // A task already recorded as done needs no second look: its result is safe.
+        if (job && isDone(job, entry.index)) continue;
+        adopt(state, m, entry, now);
+      }
+      return;
+    }
+    case 'loaded':
+      state.loaded = true;
+      state.placeFrom = later(now, (state.config.reportMs * 1.3) as Millis);
+      for (const job of state.jobs.values()) {
+        if (job.doneCount >= job.spec.tasks && job.final === 'none') {
+          job.final = 'done';
+          state.dirtyFinals.add(job);
+        }
+      }
+      return;
+    case 'abort':
+      return abortJob(state, command.job, command.ticket, effects);
+    case 'report':
+      return onReport(state, command.report, command.ticket, now, effects);
+    case 'saved':
+      return onSaved(state, command.batch, effects);
+    case 'types':
+      return setTypes(state, command.types);
+    case 'listed':
+      return listed(state, command.askedAt, command.machines, now);
+    case 'rented':
+      return rented(state, command.request, command.result, command.machines, now);
+    case 'deleted':
+      return deleted(state, command.machines, command.ok, now);
+    case 'tick':
+      return;
+  }
+};
+
+export const step = (
+  state: CoreState,
+  commands: readonly Command[],
+  now: Instant,
+  authority: Authority,
+): Effect[] => {
+  const effects: Effect[] = [];
+  for (const command of commands) apply(state, command, now, effects);
+  if (authority === 'lead' && state.loaded) {
+    if (now - state.lastTick >= TICK_MS) {
+      state.lastTick = now;
+      effects.push(...manageFleet(state, now));
+      for (const m of state.machines.values()) sendKills(m, effects, now);
+    }
+    const due = state.placementDue || now - state.lastPlaced >= ROUND_EVERY_MS;
+    if (due && now >= state.placeFrom) {
+      state.placementDue = false;
+      state.lastPlaced = now;
+      const round = runRound(state, now);
+      if (round.placed.length > 0) {
+        note(effects, 'debug', 'placed', {
+          head: state.head,
+          tasks: round.placed.map((p) => `${p.entry.job}/${p.entry.index}@${p.machine.id}`),
+        });
+      }
+    }
+    nextBatch(state, now, effects);
+  }
+  answerTickets(state, now, authority, effects);
+  return effects;
+};
--- /dev/null
+++ b/src/service/controller.ts
@@ -0,0 +1,652 @@
+/** One controller: leads or follows, and answers users, workers and its peers. */
+
+import { fromTimeOfDay, sleep, steadyNow } from '../adapters/clock.js';
+import { CloudClient } from '../adapters/cloud-client.js';
+import type { Log } from '../adapters/log.js';
+import { Peer, type Question } from '../adapters/peer-link.js';
+import type { Jitter } from '../adapters/random.js';
+import type { Settings } from '../adapters/settings.js';
+import { type Guard, StateClient, type Write } from '../adapters/state-client.js';
+import type { JobView } from '../adapters/wire.js';
+import { WorkerClient } from '../adapters/worker-client.js';
+import { createCore } from '../core/state.js';
+import type { Authority } from '../core/step.js';
+import {
+  type Command,
+  type Effect,
+  type Instant,
+  type JobId,
+  type JobSpec,
+  type MachineId,
+  type MachineType,
+  type Millis,
+  type NodeId,
+  type Order,
+  type Policy,
+  type Report,
+  type Revision,
+  seconds,
+  type TeamName,
+  type Term,
+  type Ticket,
+} from '../core/types.js';
+import { explainJob, viewJob } from '../core/view.js';
+import { Election } from './election.js';
+import { Owner } from './owner.js';
+import { Persister } from './persister.js';
+import {
+  type FinalRecord,
+  finalKey,
+  JOBS,
+  jobKey,
+  LEDGER,
+  PROGRESS,
+  readFinal,
+  readJob,
+  readLedger,
+  readProgress,
+  TYPES_KEY,
+} from './records.js';
+
+/** Final states kept in memory; older ones are read from the state service again. */
+const MAX_FINALS = 20_000;
+const TICK_MS = 250;
+const TICKET_MS = 3000;
+const PEER_MS = 700;
+const ABORT_MS = 3000;
+const LIST_EVERY_MS = 4000;
+const TYPES_EVERY_MS = 60_000;
+const JOBS_FOLLOW_MS = 15_000;
+/** How much of the state service's limits the leader's batches and each node's admissions may use. */
+const BATCH_SHARE = 0.5;
+const ADMIT_SHARE = 0.16;
+
+export type Submitted =
+  | { readonly kind: 'accepted' | 'known'; readonly view: JobView }
+  | { readonly kind: 'malformed' | 'impossible'; readonly reason: string }
+  | { readonly kind: 'later'; readonly reason: string };
+
+export type Lookup = JobView | 'absent' | 'later';
+
+interface Leadership {
+  readonly term: Term;
+  readonly owner: Owner;
+  readonly persister: Persister;
+}
+
+const finalView = (id: JobId, f: FinalRecord): JobView => ({
+  id,
+  status: f.outcome,
+  done: f.outcome === 'done' ? f.tasks : 0,
+  running: 0,
+});
+
+export class Controller {
+  readonly election: Election;
+  private readonly state: StateClient;
+  /** The leader's batches and admissions draw on separate shares of the write limit. */
+  private readonly batchState: StateClient;
+  private readonly cloud: CloudClient;
+  private readonly workers = new WorkerClient();
+  private readonly peers = new Map<NodeId, Peer>();
+  private readonly finals = new Map<JobId, FinalRecord>();
+  private types: readonly MachineType[] | null = null;
+  private leading: Leadership | null = null;
+  private readonly answers = new Map<Ticket, (orders: readonly Order[] | null) => void>();
+  private readonly aborts = new Map<Ticket, (outcome: FinalRecord['outcome'] | null | 'late') => void>();
+  private nextTicket = 1;
+  private stopped = false;
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly policy: Policy,
+    private readonly log: Log,
+    private readonly jitter: Jitter,
+  ) {
+    const { rps, writeRps } = settings.stateLimits;
+    this.state = new StateClient(settings.state, { rps: rps * 0.22, writeRps: writeRps * ADMIT_SHARE });
+    this.batchState = new StateClient(settings.state, { rps: rps * 0.3, writeRps: writeRps * BATCH_SHARE });
+    this.cloud = new CloudClient(settings.cloud, settings.cloudLimits.rps);
+    for (const peer of settings.peers) this.peers.set(peer.node, new Peer(peer.node, peer.at));
+    this.election = new Election(
+      settings.node,
+      this.state,
+      policy.leaderLeaseMs,
+      { acquired: (term, at) => this.lead(term, at), lost: () => this.follow() },
+      log,
+      jitter,
+    );
+  }
+
+  start(): void {
+    this.spawn('election', () => this.election.run());
+    this.spawn('types', () => this.readTypes());
+  }
+
+  stop(): void {
+    this.stopped = true;
+    this.election.stop();
+    this.follow();
+    this.state.close();
+    this.batchState.close();
+    this.cloud.close();
+    for (const peer of this.peers.values()) peer.close();
+  }
+
+  private spawn(name: string, work: () => Promise<void>): void {
+    work().catch((error: Error) => {
+      // A loop that ends takes its duty with it: better to start afresh than to limp on.
+      this.log.error({ err: error, loop: name }, 'loop ended');
+      if (!this.stopped) process.exit(1);
+    });
+  }
+
+  // ---- leading -----------------------------------------------------------------------------------
+
+  private keepAliveMs(): Millis {
+    const { cancelS, leaseS } = this.settings.workers;
+    return seconds(Math.min(60, Math.max(0, cancelS - leaseS - 3)));
+  }
+
+  authority(): Authority {
+    if (!this.leading || this.election.term !== this.leading.term) return 'none';
+    const now = steadyNow();
+    if (now < this.election.validUntil) return 'lead';
+    return now < this.election.validUntil + this.keepAliveMs() ? 'keep-alive' : 'none';
+  }
+
+  private lead(term: Term, acquiredAt: Instant): void {
+    const { workers, cloudLimits, stateLimits, teams } = this.settings;
+    const core = createCore({
+      term,
+      acquiredAt,
+      teams,
+      policy: this.policy,
+      reportMs: seconds(workers.reportS),
+      leaseMs: seconds(workers.leaseS),
+      keepAliveMs: this.keepAliveMs(),
+      listLagMs: seconds(cloudLimits.listLagS),
+      txnOps: stateLimits.txnOps,
+      maxPerMachine: Math.max(1, Math.floor((stateLimits.valueBytes - 512) / 110)),
+    });
+    const owner = new Owner(
+      core,
+      () => this.authority(),
+      (effect) => this.carryOut(effect),
+    );
+    const persister = new Persister(this.batchState, term, this.log, this.jitter);
+    const leading: Leadership = { term, owner, persister };
+    this.leading = leading;
+    this.spawn('takeover', () => this.takeOver(leading));
+  }
+
+  private follow(): void {
+    const was = this.leading;
+    this.leading = null;
+    if (!was) return;
+    was.owner.stop();
+    was.persister.stop();
+    for (const resolve of this.answers.values()) resolve(null);
+    this.answers.clear();
+    for (const resolve of this.aborts.values()) resolve('late');
+    this.aborts.clear();
+  }
+
+  private isLeading(leading: Leadership): boolean {
+    return !this.stopped && this.leading === leading;
+  }
+
+  private async readAll(leading: Leadership, prefix: string) {
+    while (this.isLeading(leading)) {
+      const all = await this.batchState.listAll(prefix);
+      if (typeof all === 'object') return all;
+      await sleep(this.jitter.around(200));
+    }
+    return null;
+  }
+
+  private async takeOver(leading: Leadership): Promise<void> {
+    const { stamps } = leading.persister;
+    const jobs = await this.readAll(leading, JOBS);
+    const progress = await this.readAll(leading, PROGRESS);
+    const ledger = await this.readAll(leading, LEDGER);
+    if (!jobs || !progress || !ledger || !this.isLeading(leading)) return;
+    const commands: Command[] = [];
+    if (this.types) commands.push({ kind: 'types', types: this.types });
+    for (const item of jobs.items) this.jobFrom(leading, item.key, item.value, item.revision, commands);
+    for (const item of progress.items) {
+      stamps.set(item.key, item.revision);
+      const [job, chunk] = item.key.slice(PROGRESS.length).split('/');
+      const bits = readProgress(item.value);
+      if (bits) commands.push({ kind: 'progress', job: job as JobId, chunk: Number(chunk), bits });
+      else this.log.error({ key: item.key }, 'unreadable record');
+    }
+    for (const item of ledger.items) {
+      stamps.set(item.key, item.revision);
+      const entries = readLedger(item.value);
+      const machine = item.key.slice(LEDGER.length) as MachineId;
+      if (entries) commands.push({ kind: 'ledger', machine, entries });
+      else this.log.error({ key: item.key }, 'unreadable record');
+    }
+    commands.push({ kind: 'loaded' });
+    this.log.info({ jobs: jobs.items.length, machines: ledger.items.length }, 'took over');
+    leading.owner.start(commands);
+    this.spawn('jobs', () => this.watchJobs(leading, jobs.revision));
+    this.spawn('ticks', () => this.ticks(leading));
+    this.spawn('machines', () => this.watchMachines(leading));
+  }
+
+  private jobFrom(
+    leading: Leadership,
+    key: string,
+    value: unknown,
+    revision: Revision,
+    out: Command[],
+  ): void {
+    const record = readJob(value);
+    if (!record || key !== jobKey(record.spec.id)) {
+      this.log.error({ key }, 'unreadable record');
+      return;
+    }
+    leading.persister.stamps.set(key, revision);
+    out.push({ kind: 'job', spec: record.spec, submittedAt: fromTimeOfDay(record.at) });
+  }
+
+  /** Jobs that other nodes accept show up as changes under their prefix. */
+  private async watchJobs(leading: Leadership, from: Revision): Promise<void> {
+    let revision = from;
+    while (this.isLeading(leading)) {
+      const result = await this.batchState.follow(JOBS, revision, JOBS_FOLLOW_MS);
+      if (!this.isLeading(leading)) return;
+      const commands: Command[] = [];
+      if (typeof result === 'object') {
+        revision = result.revision;
+        for (const c of result.changes) {
+          if ('value' in c) this.jobFrom(leading, c.key, c.value, c.revision, commands);
+        }
+      } else if (result === 'too-old') {
+        const all = await this.readAll(leading, JOBS);
+        if (!all) return;
+        revision = all.revision;
+        for (const item of all.items) this.jobFrom(leading, item.key, item.value, item.revision, commands);
+      } else await sleep(this.jitter.around(200));
+      for (const command of commands) {
+        // A change of before this leader finished the job says nothing new.
+        if (command.kind === 'job' && this.finals.has(command.spec.id)) continue;
+        leading.owner.submit(command);
+      }
+    }
+  }
+
+  private async ticks(leading: Leadership): Promise<void> {
+    while (this.isLeading(leading)) {
+      leading.owner.submit({ kind: 'tick' });
+      await sleep(TICK_MS);
+    }
+  }
+
+  private async watchMachines(leading: Leadership): Promise<void> {
+    let typesAt = 0;
+    while (this.isLeading(leading)) {
+      const askedAt = steadyNow();
+      if (this.authority() === 'lead') {
+        const machines = await this.cloud.list();
+        if (machines) leading.owner.submit({ kind: 'listed', askedAt, machines });
+        if (steadyNow() - typesAt > TYPES_EVERY_MS || !this.types) {
+          const types = await this.cloud.types();
+          if (types) {
+            typesAt = steadyNow();
+            this.types = types;
+            leading.owner.submit({ kind: 'types', types });
+          }
+        }
+      }
+      await sleep(LIST_EVERY_MS);
+    }
+  }
+
+  /** Every node needs the machine types to judge submissions: from the state service, else the cloud. */
+  private async readTypes(): Promise<void> {
+    while (!this.stopped && !this.types) {
+      const stored = await this.state.get(TYPES_KEY);
+      if (typeof stored === 'object') this.types = stored.value as MachineType[];
+      else {
+        const types = await this.cloud.types();
+        if (types) {
+          this.types = types;
+          await this.state.txn(
+            [{ key: TYPES_KEY, revision: 0 as Revision }],
+            [{ put: TYPES_KEY, value: types }],
+          );
+        }
+      }
+      if (this.types) this.leading?.owner.submit({ kind: 'types', types: this.types });
+      else await sleep(this.jitter.around(700));
+    }
+  }
+
+  // ---- effects -----------------------------------------------------------------------------------
+
+  private carryOut(effect: Effect): void {
+    const leading = this.leading;
+    if (!leading) return;
+    switch (effect.kind) {
+      case 'answer': {
+        const resolve = this.answers.get(effect.ticket);
+        this.answers.delete(effect.ticket);
+        resolve?.(effect.orders);
+        return;
+      }
+      case 'settled': {
+        const resolve = this.aborts.get(effect.ticket);
+        this.aborts.delete(effect.ticket);
+        resolve?.(effect.outcome);
+        return;
+      }
+      case 'final':
+        this.remember(effect.job, { outcome: effect.outcome, tasks: effect.tasks });
+        this.log.info({ job: effect.job, outcome: effect.outcome }, 'job over');
+        return;
+      case 'save':
+        this.spawn('save', async () => {
+          const stored = await leading.persister.save(effect.ops);
+          if (!this.isLeading(leading)) return;
+          if (stored) leading.owner.submit({ kind: 'saved', batch: effect.batch });
+          else this.election.deposed();
+        });
+        return;
+      case 'rent':
+        this.spawn('rent', async () => {
+          const { request, type, zone, spot, count } = effect;
+          const result = await this.cloud.rent(request, type, zone, spot, count);
+          const outcome = typeof result === 'string' ? result : 'ok';
+          const machines = typeof result === 'string' ? [] : result;
+          this.log.info({ request, type, zone, spot, count, outcome, machines }, 'rent');
+          leading.owner.submit({ kind: 'rented', request, result: outcome, machines });
+        });
+        return;
+      case 'delete':
+        this.spawn('delete', async () => {
+          const ok = await this.cloud.delete(effect.machines);
+          this.log.info({ machines: effect.machines, ok }, 'return machines');
+          leading.owner.submit({ kind: 'deleted', machines: effect.machines, ok });
+        });
+        return;
+      case 'orders':
+        this.spawn('orders', async () => {
+          const { endpoint, session, orders } = effect;
+          const report = await this.workers.orders(endpoint, leading.term, session, orders);
+          if (!report || !this.isLeading(leading) || report.machine !== effect.machine) return;
+          if (report.term > leading.term) this.election.deposed();
+          else leading.owner.submit({ kind: 'report', report, ticket: null });
+        });
+        return;
+      case 'note':
+        this.log[effect.level](effect.fields, effect.text);
+    }
+  }
+
+  private remember(id: JobId, final: FinalRecord): void {
+    this.finals.set(id, final);
+    if (this.finals.size > MAX_FINALS) {
+      const oldest = this.finals.keys().next().value;
+      if (oldest !== undefined) this.finals.delete(oldest);
+    }
+  }
+
+  // ---- workers -----------------------------------------------------------------------------------
+
+  /** The orders for a worker; or the leader to turn to; or null for "not now". */
+  async checkIn(
+    report: Report,
+  ): Promise<
+    | { readonly kind: 'orders'; readonly term: Term; readonly orders: readonly Order[] }
+    | { readonly kind: 'elsewhere'; readonly leader: NodeId | null }
+    | { readonly kind: 'later' }
+  > {
+    const leading = this.leading;
+    if (!leading) {
+      const leader = this.election.leaderNode;
+      return { kind: 'elsewhere', leader: leader === this.settings.node ? null : leader };
+    }
+    if (report.term > leading.term) {
+      this.log.info({ machine: report.machine, term: report.term }, 'a worker has seen a higher term');
+      this.election.deposed();
+      return { kind: 'elsewhere', leader: null };
+    }
+    if (this.authority() === 'none') return { kind: 'elsewhere', leader: null };
+    const ticket = this.nextTicket++ as Ticket;
+    const orders = await new Promise<readonly Order[] | null>((resolve) => {
+      const timer = setTimeout(() => {
+        this.answers.delete(ticket);
+        resolve(null);
+      }, TICKET_MS);
+      this.answers.set(ticket, (given) => {
+        clearTimeout(timer);
+        resolve(given);
+      });
+      leading.owner.submit({ kind: 'report', report, ticket });
+    });
+    if (!orders || !this.isLeading(leading) || this.authority() === 'none') return { kind: 'later' };
+    return { kind: 'orders', term: leading.term, orders };
+  }
+
+  // ---- users -------------------------------------------------------------------------------------
+
+  ready(): boolean {
+    return this.types !== null;
+  }
+
+  private fault(spec: JobSpec): { kind: 'impossible'; reason: string } | null {
+    const team = this.settings.teams.get(spec.team);
+    const no = (reason: string) => ({ kind: 'impossible' as const, reason });
+    if (!team) return no(`unknown team ${spec.team}`);
+    if (spec.cpus > team.cpusMax || spec.gpus > team.gpusMax) return no("a task exceeds the team's limit");
+    const fits = (this.types ?? []).some(
+      (t) =>
+        (!spec.types || spec.types.includes(t.name)) &&
+        (spec.zone === null || t.zones.includes(spec.zone)) &&
+        spec.cpus <= t.cpus &&
+        spec.gpus <= t.gpus &&
+        spec.memoryGb <= t.memoryGb,
+    );
+    return fits ? null : no('no allowed machine type fits a task');
+  }
+
+  /** `parsed` is the job, or what is wrong with the body; an accepted id is answered as known either way. */
+  async submit(id: JobId, parsed: JobSpec | { readonly fault: string }): Promise<Submitted> {
+    const known = this.localView(id);
+    if (known) return { kind: 'known', view: known };
+    if ('fault' in parsed) return this.refuse(id, { kind: 'malformed', reason: parsed.fault });
+    if (!this.types) return { kind: 'later', reason: 'machine types not known yet' };
+    const fault = this.fault(parsed);
+    if (fault) return this.refuse(id, fault);
+    if (this.state.down(steadyNow())) return { kind: 'later', reason: 'state service away' };
+    const value = { at: Date.now(), spec: parsed };
+    if (Buffer.byteLength(JSON.stringify(value)) > this.settings.stateLimits.valueBytes) {
+      return { kind: 'malformed', reason: 'description too large' };
+    }
+    const key = jobKey(id);
+    const none = 0 as Revision;
+    const guards: Guard[] = [
+      { key, revision: none },
+      { key: finalKey(id), revision: none },
+    ];
+    const writes: Write[] = [{ put: key, value }];
+    const result = await this.state.txn(guards, writes, 600);
+    let revision: Revision | null = typeof result === 'object' ? result.revision : null;
+    if (result === 'conflict' || result === 'unknown') {
+      const view = await this.storedView(id);
+      if (typeof view === 'object') return { kind: 'known', view };
+      if (view === 'later' || result === 'unknown') return { kind: 'later', reason: 'state service away' };
+      revision = null;
+    }
+    if (revision === null) return { kind: 'later', reason: 'state service away' };
+    const leading = this.leading;
+    if (leading) {
+      leading.persister.stamps.set(key, revision);
+      leading.owner.submit({ kind: 'job', spec: parsed, submittedAt: steadyNow() });
+    }
+    return { kind: 'accepted', view: { id, status: 'queued', done: 0, running: 0 } };
+  }
+
+  /** A bad repeat of an accepted job is still answered with the job. */
+  private async refuse(
+    id: JobId,
+    answer: { kind: 'malformed' | 'impossible'; reason: string },
+  ): Promise<Submitted> {
+    const view = await this.lookUp(id);
+    if (view === 'later') return { kind: 'later', reason: 'state service away' };
+    return view === 'absent' ? answer : { kind: 'known', view };
+  }
+
+  /** What this node may say by itself: final states, and as leader with a valid lease all it knows. */
+  private localView(id: JobId): JobView | null {
+    const final = this.finals.get(id);
+    if (final) return finalView(id, final);
+    if (this.leading && this.authority() === 'lead') {
+      const view = viewJob(this.leading.owner.core, id, steadyNow());
+      if (view) return view;
+    }
+    return null;
+  }
+
+  private async storedView(id: JobId): Promise<Lookup> {
+    // In this order: a job's record and its final one change places in a single transaction.
+    const job = await this.state.get(jobKey(id));
+    if (typeof job === 'object') {
+      return { id, status: 'queued', done: 0, running: 0, waiting: 'no leader to ask' };
+    }
+    if (job !== 'absent') return 'later';
+    const final = await this.state.get(finalKey(id));
+    if (typeof final === 'object') {
+      const record = readFinal(final.value);
+      if (!record) return 'later';
+      this.remember(id, record);
+      return finalView(id, record);
+    }
+    return final === 'absent' ? 'absent' : 'later';
+  }
+
+  async lookUp(id: JobId): Promise<Lookup> {
+    const local = this.localView(id);
+    if (local) return local;
+    const leader = this.leaderPeer();
+    if (leader) {
+      const answer = (await leader.ask({ ask: 'status', job: id }, PEER_MS)) as JobView | null | undefined;
+      if (answer && typeof answer === 'object' && answer.id === id) {
+        if (answer.status === 'done' || answer.status === 'cancelled') {
+          this.remember(id, { outcome: answer.status, tasks: answer.done });
+        }
+        return answer;
+      }
+    }
+    return this.storedView(id);
+  }
+
+  private leaderPeer(): Peer | null {
+    const node = this.election.leaderNode;
+    return node === null || this.leading ? null : (this.peers.get(node) ?? null);
+  }
+
+  async abort(id: JobId): Promise<Lookup> {
+    const final = this.finals.get(id);
+    if (final) return finalView(id, final);
+    if (this.leading) return this.abortHere(id);
+    const leader = this.leaderPeer();
+    if (leader) {
+      const answer = (await leader.ask({ ask: 'abort', job: id }, ABORT_MS)) as Lookup | undefined;
+      if (
+        answer &&
+        typeof answer === 'object' &&
+        (answer.status === 'done' || answer.status === 'cancelled')
+      ) {
+        return answer;
+      }
+    }
+    const view = await this.storedView(id);
+    if (typeof view === 'object' && (view.status === 'queued' || view.status === 'running')) return 'later';
+    return view;
+  }
+
+  private async abortHere(id: JobId): Promise<Lookup> {
+    const leading = this.leading;
+    if (!leading || this.authority() !== 'lead') return 'later';
+    for (let round = 0; round < 2; round += 1) {
+      const ticket = this.nextTicket++ as Ticket;
+      const outcome = await new Promise<FinalRecord['outcome'] | null | 'late'>((resolve) => {
+        const timer = setTimeout(() => {
+          this.aborts.delete(ticket);
+          resolve('late');
+        }, ABORT_MS - 300);
+        this.aborts.set(ticket, (o) => {
+          clearTimeout(timer);
+          resolve(o);
+        });
+        leading.owner.submit({ kind: 'abort', job: id, ticket });
+      });
+      if (outcome === 'late') return 'later';
+      if (outcome !== null) {
+        const record = this.finals.get(id) ?? { outcome, tasks: 0 };
+        return finalView(id, record);
+      }
+      // Not known here: over, never accepted, or accepted elsewhere a moment ago.
+      const item = await this.state.get(jobKey(id));
+      if (typeof item !== 'object') break;
+      const commands: Command[] = [];
+      this.jobFrom(leading, item.key, item.value, item.revision, commands);
+      for (const command of commands) leading.owner.submit(command);
+    }
+    const view = await this.storedView(id);
+    return typeof view === 'object' && view.status === 'queued' ? 'later' : view;
+  }
+
+  // ---- peers -------------------------------------------------------------------------------------
+
+  async respond(question: Question): Promise<unknown> {
+    const job = question.job as JobId | undefined;
+    switch (question.ask) {
+      case 'status':
+        return job ? this.localView(job) : null;
+      case 'abort':
+        return job && this.leading ? this.abortHere(job) : 'later';
+      case 'explain':
+        return job ? this.explainHere(job) : null;
+      case 'list':
+        return question.team ? this.listHere(question.team as TeamName) : null;
+      case 'health':
+        return { state: !this.state.down(steadyNow()) };
+    }
+  }
+
+  private explainHere(id: JobId) {
+    if (!this.leading || this.authority() !== 'lead') return null;
+    return explainJob(this.leading.owner.core, id, steadyNow());
+  }
+
+  private listHere(team: TeamName): JobView[] | null {
+    if (!this.leading || this.authority() !== 'lead') return null;
+    const { core } = this.leading.owner;
+    const views: JobView[] = [];
+    for (const job of core.jobs.values()) {
+      if (job.spec.team !== team || views.length >= 200) continue;
+      const view = viewJob(core, job.spec.id, steadyNow());
+      if (view) views.push(view);
+    }
+    return views;
+  }
+
+  async explain(id: JobId): Promise<unknown> {
+    const here = this.explainHere(id);
+    if (here) return here;
+    const answer = await this.leaderPeer()?.ask({ ask: 'explain', job: id }, PEER_MS);
+    return answer ?? null;
+  }
+
+  async list(team: TeamName): Promise<readonly JobView[] | null> {
+    const here = this.listHere(team);
+    if (here) return here;
+    const answer = await this.leaderPeer()?.ask({ ask: 'list', team }, PEER_MS);
+    return Array.isArray(answer) ? (answer as JobView[]) : null;
+  }
+}
--- /dev/null
+++ b/src/service/election.ts
@@ -0,0 +1,138 @@
+/** Who leads: the holder of the leader key, which hangs on a lease of the state service. */
+import { randomUUID } from 'node:crypto';
+import { sleep, steadyNow } from '../adapters/clock.js';
+import type { Log } from '../adapters/log.js';
+import type { Jitter } from '../adapters/random.js';
+import type { LeaseId, StateClient, Write } from '../adapters/state-client.js';
+import type { Instant, NodeId, Revision, Term } from '../core/types.js';
+import { LEADER_KEY, readLeader } from './records.js';
+
+const FOLLOW_MS = 10_000;
+const DRIFT = 0.001;
+const SLACK_MS = 50;
+
+export interface ElectionEvents {
+  acquired(term: Term, at: Instant): void;
+  lost(): void;
+}
+
+export class Election {
+  /** A new one for each start of the process: an old incarnation's claims are not ours. */
+  readonly life = randomUUID();
+  term: Term | null = null;
+  validUntil = 0 as Instant;
+  leaderNode: NodeId | null = null;
+  private stopped = false;
+
+  constructor(
+    private readonly node: NodeId,
+    private readonly state: StateClient,
+    private readonly leaseMs: number,
+    private readonly events: ElectionEvents,
+    private readonly log: Log,
+    private readonly jitter: Jitter,
+  ) {}
+
+  stop(): void {
+    this.stopped = true;
+  }
+
+  async run(): Promise<void> {
+    while (!this.stopped) {
+      const item = await this.state.get(LEADER_KEY);
+      if (item === 'absent') {
+        this.leaderNode = null;
+        await this.campaign(0 as Revision);
+      } else if (typeof item === 'object') {
+        const leader = readLeader(item.value);
+        if (leader?.node === this.node) {
+          // Left behind by an earlier life of this node, which is over; guarded by its version.
+          await this.campaign(item.revision);
+        } else {
+          this.leaderNode = (leader?.node ?? null) as NodeId | null;
+          await this.waitForChange(item.revision);
+        }
+      } else await sleep(this.jitter.around(250));
+    }
+  }
+
+  private async waitForChange(since: Revision): Promise<void> {
+    const result = await this.state.follow(LEADER_KEY, since, FOLLOW_MS);
+    if (typeof result === 'string' && result !== 'too-old') await sleep(this.jitter.around(250));
+  }
+
+  /** Step down: a worker has seen a higher term, or a write was refused. */
+  deposed(): void {
+    if (this.term === null) return;
+    this.term = null;
+    this.validUntil = 0 as Instant;
+    this.leaderNode = null;
+    this.events.lost();
+  }
+
+  private async campaign(guard: Revision): Promise<void> {
+    const sentAt = steadyNow();
+    const lease = await this.state.grant(this.leaseMs);
+    if (typeof lease === 'string') {
+      await sleep(this.jitter.around(200));
+      return;
+    }
+    const value = { node: this.node, life: this.life, lease };
+    const writes: Write[] = [{ put: LEADER_KEY, value, lease }];
+    const result = await this.state.txn([{ key: LEADER_KEY, revision: guard }], writes);
+    let term: Term | null = null;
+    if (typeof result === 'object') term = result.revision as number as Term;
+    else if (result === 'unknown') term = await this.readBack(lease);
+    if (term === null) {
+      await this.state.revoke(lease);
+      await sleep(this.jitter.around(50));
+      return;
+    }
+    this.validUntil = this.validity(sentAt);
+    if (this.validUntil <= steadyNow() && (await this.state.renew(lease)) !== 'ok') return;
+    this.term = term;
+    this.leaderNode = this.node;
+    this.log.info({ term }, 'leading');
+    this.events.acquired(term, steadyNow());
+    await this.keep(lease, term);
+  }
+
+  private async readBack(lease: LeaseId): Promise<Term | null> {
+    for (let i = 0; i < 5; i += 1) {
+      const item = await this.state.get(LEADER_KEY);
+      if (item === 'absent') return null;
+      if (typeof item === 'object') {
+        const value = item.value as { life?: unknown; lease?: unknown } | null;
+        const ours = value?.life === this.life && value?.lease === lease;
+        return ours ? (item.revision as number as Term) : null;
+      }
+      await sleep(this.jitter.around(200));
+    }
+    return null;
+  }
+
+  /** A lease counts from before its renewal was sent, less what the clocks may drift apart. */
+  private validity(sentAt: Instant): Instant {
+    return (sentAt + this.leaseMs * (1 - DRIFT) - SLACK_MS) as Instant;
+  }
+
+  private async keep(lease: LeaseId, term: Term): Promise<void> {
+    while (!this.stopped && this.term === term) {
+      const sentAt = steadyNow();
+      const result = await this.state.renew(lease);
+      if (this.term !== term) break;
+      if (result === 'gone') {
+        this.log.info({ term }, 'lease ended, leading no more');
+        this.deposed();
+        break;
+      }
+      if (result === 'ok') {
+        // The key hangs on the lease: while the lease lives, nobody else has taken it.
+        this.validUntil = this.validity(sentAt);
+        await sleep(this.leaseMs / 4);
+      } else await sleep(this.jitter.around(150));
+    }
+    if (this.stopped) return;
+    await this.state.revoke(lease);
+  }
+}
--- /dev/null
+++ b/src/service/owner.ts
@@ -0,0 +1,62 @@
+/**
+ * The single owner of the leader's state: commands queue up and are worked off in batches. The pause between
+ * batches grows with what the last one cost, so that under load each takes in more.
+ */
+import { steadyNow } from '../adapters/clock.js';
+import type { CoreState } from '../core/state.js';
+import { type Authority, step } from '../core/step.js';
+import type { Command, Effect } from '../core/types.js';
+
+const MAX_PAUSE_MS = 250;
+const PAUSE_FACTOR = 1.5;
+
+export class Owner {
+  private queue: Command[] = [];
+  private timer: NodeJS.Timeout | null = null;
+  private nextAt = 0;
+  private stopped = false;
+  /** Commands wait here while a new leader still reads what the state service holds. */
+  private open = false;
+
+  constructor(
+    readonly core: CoreState,
+    private readonly authority: () => Authority,
+    private readonly carryOut: (effect: Effect) => void,
+  ) {}
+
+  submit(command: Command): void {
+    if (this.stopped) return;
+    this.queue.push(command);
+    if (this.open) this.wake();
+  }
+
+  /** Applies what was read at takeover before anything that came in since. */
+  start(loaded: readonly Command[]): void {
+    this.queue = [...loaded, ...this.queue];
+    this.open = true;
+    this.wake();
+  }
+
+  stop(): void {
+    this.stopped = true;
+    if (this.timer) clearTimeout(this.timer);
+  }
+
+  private wake(): void {
+    if (this.timer || this.stopped) return;
+    this.timer = setTimeout(() => this.run(), Math.max(0, this.nextAt - steadyNow()));
+  }
+
+  private run(): void {
+    this.timer = null;
+    if (this.stopped) return;
+    const commands = this.queue;
+    this.queue = [];
+    const before = steadyNow();
+    const effects = step(this.core, commands, before, this.authority());
+    for (const effect of effects) this.carryOut(effect);
+    const after = steadyNow();
+    this.nextAt = after + Math.min(MAX_PAUSE_MS, (after - before) * PAUSE_FACTOR);
+    if (this.queue.length > 0) this.wake();
+  }
+}
--- /dev/null
+++ b/test/backfill.test.ts
@@ -0,0 +1,169 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { DEFAULT_POLICY } from '../src/adapters/settings.js';
+import { runRound } from '../src/core/backfill.js';
+import { deadlineScore } from '../src/core/rank.js';
+import { hold, newJob, newMachine, type Placement, takePending } from '../src/core/state.js';
+import type { Attempt, Instant, MachineId, TypeName, ZoneName } from '../src/core/types.js';
+import { core, job, team, type } from './model/build.js';
+import { type PlainWorld, plainRound } from './model/plain-backfill.js';
+
+const TYPES = [
+  type('small', { cpus: 4, memoryGb: 16 }),
+  type('big', { cpus: 8, memoryGb: 32 }),
+  type('gpu', { cpus: 8, gpus: 2, memoryGb: 32 }),
+];
+const NOW = 1_000_000;
+
+const drawnJob = fc.record({
+  age: fc.integer({ min: 0, max: 600 }),
+  team: fc.constantFrom('blue', 'green'),
+  tasks: fc.integer({ min: 1, max: 6 }),
+  cpus: fc.constantFrom(1, 2, 4),
+  gpus: fc.constantFrom(0, 0, 0, 1),
+  memoryGb: fc.constantFrom(1, 4, 9),
+  types: fc.constantFrom(null, null, ['big', 'gpu'], ['small']),
+  zone: fc.constantFrom(null, null, null, 'a'),
+  oneZone: fc.boolean(),
+  scatter: fc.boolean(),
+  spotOk: fc.boolean(),
+  estimateS: fc.integer({ min: 1, max: 90 }),
+  deadlineS: fc.option(fc.integer({ min: 10, max: 900 })),
+});
+const drawnMachine = fc.record({
+  type: fc.constantFrom(...TYPES.map((t) => t.name as string)),
+  zone: fc.constantFrom('a', 'b'),
+  spot: fc.boolean(),
+});
+const drawnWorld = fc.record({
+  jobs: fc.array(drawnJob, { minLength: 1, maxLength: 8 }),
+  machines: fc.array(drawnMachine, { minLength: 1, maxLength: 5 }),
+  running: fc.array(
+    fc.record({ job: fc.nat(7), machine: fc.nat(4), startedAgo: fc.integer({ min: 0, max: 40 }) }),
+    {
+      maxLength: 8,
+    },
+  ),
+  head: fc.option(fc.nat(7)),
+});
+
+describe('a round', () => {
+  it('starts what the plain model starts, on the same machines, around the same head', () => {
+    let starts = 0;
+    let reservations = 0;
+    fc.assert(
+      fc.property(drawnWorld, (drawn) => {
+        const limits = { blue: { cpus: 24, gpus: 4 }, green: { cpus: 10, gpus: 1 } };
+        const teams = [team('blue', 24, 4), team('green', 10, 1)];
+        const state = core({ teams: new Map(teams.map((t) => [t.name, t])) });
+        for (const t of TYPES) state.types.set(t.name, t);
+        const world: PlainWorld = {
+          now: NOW,
+          ...DEFAULT_POLICY,
+          jobs: [],
+          kinds: [{ type: 'gpu', gpus: 2 }],
+          machines: [],
+          runs: [],
+          limits,
+          head: drawn.head === null ? null : `job-${drawn.head}`,
+        };
+        state.head = world.head as never;
+        drawn.jobs.forEach(({ age, ...rest }, i) => {
+          const submittedAt = NOW - age * 1000;
+          world.jobs.push({ id: `job-${i}`, submittedAt, ...rest });
+          const spec = job(`job-${i}`, { ...rest, image: `img-${i}` });
+          state.jobs.set(spec.id, newJob(spec, submittedAt as Instant));
+        });
+        drawn.machines.forEach((m, i) => {
+          const t = TYPES.find((x) => x.name === m.type)!;
+          const id = `n-${i}`;
+          world.machines.push({ id, ...m, cpus: t.cpus, gpus: t.gpus, memoryGb: t.memoryGb });
+          const at = { endpoint: '', type: m.type as TypeName, zone: m.zone as ZoneName, spot: m.spot };
+          const made = newMachine(id as MachineId, at, 0 as Instant, 0 as Instant);
+          made.ready = true;
+          state.machines.set(made.id, made);
+        });
+        drawn.running.forEach((r, i) => {
+          const j = [...state.jobs.values()][r.job % state.jobs.size]!;
+          const m = [...state.machines.values()][r.machine % state.machines.size]!;
+          const index = takePending(j);
+          if (index === null) return;
+          const startedAt = (NOW - r.startedAgo * 1000) as Instant;
+          const { id, team: owner, cpus, gpus, memoryGb, estimateS } = j.spec;
+          const p: Placement = {
+            entry: { job: id, index, attempt: (i + 1) as Attempt, team: owner, cpus, gpus, memoryGb },
+            machine: m,
+            job: j,
+            placedAt: startedAt,
+            phase: 'running',
+            startedAt,
+            kill: null,
+            needs: null,
+          };
+          hold(state, p);
+          m.images.add(j.spec.image);
+          const end = Math.max(startedAt + estimateS * 1000, NOW + Math.max(1000, (estimateS * 1000) / 4));
+          world.runs.push({ job: id, machine: m.id, end });
+        });
+        const plain = plainRound(world);
+        const real = runRound(state, NOW as Instant);
+        const placed = real.placed.map((p) => `${p.entry.job}@${p.machine.id}`);
+        expect(placed).toEqual(plain.starts);
+        expect(state.head).toBe(plain.head);
+        starts += placed.length;
+        if (state.shadowAt !== null) reservations += 1;
+      }),
+      { seed: 20261, numRuns: 1500 },
+    );
+    // The comparison means something only where both have had something to decide.
+    expect(starts).toBeGreaterThan(1000);
+    expect(reservations).toBeGreaterThan(100);
+  });
+
+  it('keeps the head at the top until it has started, whatever arrives', () => {
+    const state = core();
+    state.types.set('c8' as TypeName, type('c8'));
+    const at = { endpoint: '', type: 'c8' as TypeName, zone: 'a' as ZoneName, spot: false };
+    const m = newMachine('n-1' as MachineId, at, 0 as Instant, 0 as Instant);
+    m.ready = true;
+    state.machines.set(m.id, m);
+    const add = (id: string, change: object) => {
+      const spec = job(id, change);
+      state.jobs.set(spec.id, newJob(spec, 0 as Instant));
+    };
+    add('job-1', { cpus: 6, estimateS: 50 });
+    runRound(state, 0 as Instant);
+    add('job-2', { cpus: 4, estimateS: 20 });
+    runRound(state, 0 as Instant);
+    expect(state.head).toBe('job-2');
+    // Shorter, so it scores higher; still it may neither take the head's rank nor outlast its reservation.
+    add('job-3', { cpus: 1, estimateS: 1 });
+    add('job-4', { cpus: 1, estimateS: 400, tasks: 4 });
+    const round = runRound(state, 0 as Instant);
+    expect(state.head).toBe('job-2');
+    expect(state.shadowAt).toBe(50_000);
+    const placed = round.placed.map((p) => p.entry.job);
+    expect(placed.filter((id) => id === 'job-3')).toHaveLength(1);
+    expect(placed.filter((id) => id === 'job-4')).toHaveLength(1);
+  });
+
+  it('never lets a job that fails everywhere reserve', () => {
+    const state = core();
+    const spec = job('job-1', { cpus: 4 });
+    const failing = newJob(spec, 0 as Instant);
+    for (const id of ['n-1', 'n-2', 'n-3']) failing.failedOn.add(id as MachineId);
+    state.jobs.set(spec.id, failing);
+    const other = job('job-2', { estimateS: 500 });
+    state.jobs.set(other.id, newJob(other, 9_000_000 as Instant));
+    runRound(state, 9_000_000 as Instant);
+    expect(state.head).toBe('job-2');
+  });
+});
+
+describe('the deadline score', () => {
+  const spec = job('job-1', { estimateS: 10, deadlineS: 100 });
+  const at = (s: number) => deadlineScore(spec, 0 as Instant, (s * 1000) as Instant, DEFAULT_POLICY);
+  it('is the least before the threshold, grows to the most at the deadline, and is nothing after', () => {
+    expect([at(0), at(69), at(70), at(80), at(90), at(91)]).toEqual([1, 1, 1, 5.5, 10, 0]);
+  });
+});
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,5 @@
+import { defineConfig } from 'vitest/config';
+
+export default defineConfig({
+  test: { include: ['test/**/*.test.ts'], testTimeout: 60_000, pool: 'forks' },
+});
