--- a/test/backfill.test.ts
+++ b/test/backfill.test.ts
@@ -22,7 +22,7 @@
   cpus: fc.constantFrom(1, 2, 4),
   gpus: fc.constantFrom(0, 0, 0, 1),
   memoryGb: fc.constantFrom(1, 4, 9),
-  types: fc.constantFrom(null, null, ['big', 'gpu'], ['small']),
+  types: fc.constantFrom<string[] | null>(null, null, ['big', 'gpu'], ['small']),
   zone: fc.constantFrom(null, null, null, 'a'),
   oneZone: fc.boolean(),
   scatter: fc.boolean(),
