--- a/src/core/rank.ts
+++ b/src/core/rank.ts
@@ -2,7 +2,14 @@
  * The weighted score of a waiting job: aging, deadline, scarcity and shortness
  * (Capannini et al., "Backfilling Strategies for Scheduling Streams of Jobs on Computational Farms").
  */
-import type { Instant, JobSpec, MachineType, Policy, TypeName } from './types.js';
+import {
+  type Instant,
+  type JobSpec,
+  type MachineType,
+  type Policy,
+  PRIORITY_LEVEL,
+  type TypeName,
+} from './types.js';
 
 export interface Waiting {
   readonly spec: JobSpec;
@@ -16,6 +23,7 @@
   readonly deadline: number;
   readonly scarcity: number;
   readonly shortness: number;
+  readonly level: number;
   readonly total: number;
 }
 
@@ -83,7 +91,9 @@
   }
   const scarce = policy.scarcityWeight * rare;
   const shortness = policy.shortnessWeight * (job.spec.estimateS > 0 ? shortestS / job.spec.estimateS : 1);
-  return { aging, deadline, scarcity: scarce, shortness, total: aging + deadline + scarce + shortness };
+  const level = policy.levelWeight * PRIORITY_LEVEL[job.spec.priority];
+  const total = aging + deadline + scarce + shortness + level;
+  return { aging, deadline, scarcity: scarce, shortness, level, total };
 };
 
 export interface Ranked<T extends Waiting> {
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -170,6 +170,8 @@
   readonly deadlineWeight: number;
   readonly scarcityWeight: number;
   readonly shortnessWeight: number;
+  /** Points for each level of the job's own priority: our addition to the four scores. */
+  readonly levelWeight: number;
   readonly k: number;
   readonly min: number;
   readonly max: number;
