--- a/src/adapters/api.ts
+++ b/src/adapters/api.ts
@@ -105,7 +105,7 @@
 };
 
 export const serveApi = (settings: Settings, app: Hono, log: Log): Server => {
-  const listener = getRequestListener(app.fetch, { overrideGlobalObjects: false });
+  const listener = getRequestListener(app.fetch);
   let inFlight = 0;
   const server = createServer((req, res) => {
     if (inFlight >= MAX_IN_FLIGHT && req.url !== '/checkin') {
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -43,4 +43,4 @@
     await jobs(options.team, options.at);
   });
 
-await program.parseAsync();
+void program.parseAsync();
--- a/src/service/controller.ts
+++ b/src/service/controller.ts
@@ -308,17 +308,13 @@
   /** Every node needs the machine types to judge submissions: from the state service, else the cloud. */
   private async readTypes(): Promise<void> {
     while (!this.stopped && !this.types) {
-      const stored = await this.state.get(TYPES_KEY);
-      if (typeof stored === 'object') this.types = stored.value as MachineType[];
-      else {
-        const types = await this.cloud.types();
-        if (types) {
-          this.types = types;
-          await this.state.txn(
-            [{ key: TYPES_KEY, revision: 0 as Revision }],
-            [{ put: TYPES_KEY, value: types }],
-          );
-        }
+      const [stored, fresh] = await Promise.all([this.state.get(TYPES_KEY), this.cloud.types()]);
+      this.types ??= fresh ?? (typeof stored === 'object' ? (stored.value as MachineType[]) : null);
+      if (fresh && stored === 'absent') {
+        await this.state.txn(
+          [{ key: TYPES_KEY, revision: 0 as Revision }],
+          [{ put: TYPES_KEY, value: fresh }],
+        );
       }
       if (this.types) this.leading?.owner.submit({ kind: 'types', types: this.types });
       else await sleep(this.jitter.around(700));
