--- a/src/adapters/settings.ts
+++ b/src/adapters/settings.ts
@@ -149,7 +149,7 @@
   ageFactor: 1,
   deadlineWeight: 1,
   scarcityWeight: 1,
-  shortnessWeight: 1,
+  shortnessWeight: 20,
   levelWeight: 5,
   k: 2,
   min: 1,
--- a/src/core/rank.ts
+++ b/src/core/rank.ts
@@ -74,6 +74,9 @@
   return policy.min + ((policy.max - policy.min) / over) * (end - threshold);
 };
 
+/** An array's estimate, for shortness: what its waiting tasks take one after the other. */
+export const jobEstimateS = (job: Waiting): number => job.spec.estimateS * job.pending;
+
 export const scoreJob = (
   job: Waiting,
   shortestS: number,
@@ -90,7 +93,8 @@
     rare += value > 1 ? scarcity.ample * value : value;
   }
   const scarce = policy.scarcityWeight * rare;
-  const shortness = policy.shortnessWeight * (job.spec.estimateS > 0 ? shortestS / job.spec.estimateS : 1);
+  const work = jobEstimateS(job);
+  const shortness = policy.shortnessWeight * (work > 0 ? shortestS / work : 1);
   const level = policy.levelWeight * PRIORITY_LEVEL[job.spec.priority];
   const total = aging + deadline + scarce + shortness + level;
   return { aging, deadline, scarcity: scarce, shortness, level, total };
@@ -111,7 +115,7 @@
 ): Ranked<T>[] => {
   const scarcity = measureScarcity(waiting, types, total);
   let shortest = Number.POSITIVE_INFINITY;
-  for (const job of waiting) shortest = Math.min(shortest, job.spec.estimateS);
+  for (const job of waiting) shortest = Math.min(shortest, jobEstimateS(job));
   return waiting
     .map((job) => ({ job, scores: scoreJob(job, shortest, scarcity, types, now, policy) }))
     .sort(
