A machine rented in this term may start tasks with its first answer

Cause: a start waited for a second check-in after boot, so that absence is proof; a machine that no former leader can have known needs none.

--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -66,7 +66,9 @@
       const { type, zone, spot } = option;
       for (const id of ids) {
         if (state.gone.has(id) || state.machines.has(id)) continue;
-        state.machines.set(id, newMachine(id, { endpoint: '', type: type.name, zone, spot }, now, now));
+        const m = newMachine(id, { endpoint: '', type: type.name, zone, spot }, now, now);
+        m.ownRental = true;
+        state.machines.set(id, m);
       }
     }
     if (result === 'ok' && ids.length >= asked) option.refusals = 0;
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -107,6 +107,8 @@
   /** Its last report carried our term on a session that we answered. */
   ready: boolean;
   everSeen: boolean;
+  /** Rented under this very term: no former leader can have sent it a start. */
+  ownRental: boolean;
   listed: boolean;
   lastSeen: Instant;
   lostAt: Instant | null;
@@ -335,6 +337,7 @@
   answeredSession: 0,
   ready: false,
   everSeen: false,
+  ownRental: false,
   listed: false,
   lastSeen: now,
   lostAt: null,
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -281,7 +281,8 @@
   const m = ensureMachine(state, report.machine, report, now);
   if (m.ticket) effects.push({ kind: 'answer', ticket: m.ticket.ticket, orders: null });
   m.ticket = ticket === null ? null : { ticket, since: now };
-  if (!m.everSeen) note(effects, 'debug', 'machine is up', { machine: m.id, type: m.type, zone: m.zone });
+  const first = !m.everSeen;
+  if (first) note(effects, 'debug', 'machine is up', { machine: m.id, type: m.type, zone: m.zone });
   m.session = report.session;
   m.seq = report.seq;
   m.everSeen = true;
@@ -299,6 +300,12 @@
     state.placementDue = true;
   }
   if (m.answeredSession !== report.session) m.ready = false;
+  // The first word of a machine rented under this term: nothing can be on its way to it, so the answer may start
+  // tasks at once. What it takes for an absence to be proof stays the same.
+  if (first && m.ownRental && report.session === 1 && report.tasks.length === 0) {
+    m.ready = true;
+    state.placementDue = true;
+  }
   const seen = new Set<number>();
   for (const task of report.tasks) {
     seen.add(task.attempt);
@@ -498,6 +505,8 @@
     }
     case 'loaded':
       state.loaded = true;
+      // One report period, at its longest, lets the workers speak first. (Without it at a first start, whichever
+      // jobs arrive first take the few machines that are up, not those that rank best.)
       state.placeFrom = later(now, (state.config.reportMs * 1.3) as Millis);
       for (const job of state.jobs.values()) {
         if (job.doneCount >= job.spec.tasks && job.final === 'none') {
