--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -16,6 +16,7 @@
   type Placement,
   recountPending,
   release,
+  usable,
 } from './state.js';
 import {
   type Command,
@@ -42,6 +43,11 @@
 
 /** A check-in waits at most this long for the ledger entries of its starts. */
 const ANSWER_WAIT_MS = 900;
+/**
+ * An idle worker's check-in is answered when there is something to start, or after this long: a start that
+ * misses it would wait for the next report. Busy workers are answered at once, since theirs bring results.
+ */
+const IDLE_HOLD_MS = 1800;
 const MAX_ORDERS = 300;
 const TICK_MS = 500;
 /** Progress that only guards against a crash may wait this long for company. */
@@ -379,6 +385,7 @@
       for (const p of m.placements.values()) waits ||= p.phase === 'entering';
       if (waits) continue;
     }
+    if (authority === 'lead' && m.placements.size === 0 && usable(m, now) && now - since < IDLE_HOLD_MS) continue;
     m.ticket = null;
     m.answeredSession = m.session;
     const orders = authority === 'lead' ? ordersFor(state, m, now) : [];
