Controllers tell each other who leads and whom the workers reach

Ruled out: election time (3 s). Now a node that does not see the state service asks its peers who leads; a leader that hears under a third of its workers while a peer hears more resigns.

--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -385,7 +385,8 @@
       for (const p of m.placements.values()) waits ||= p.phase === 'entering';
       if (waits) continue;
     }
-    if (authority === 'lead' && m.placements.size === 0 && usable(m, now) && now - since < IDLE_HOLD_MS) continue;
+    if (authority === 'lead' && m.placements.size === 0 && usable(m, now) && now - since < IDLE_HOLD_MS)
+      continue;
     m.ticket = null;
     m.answeredSession = m.session;
     const orders = authority === 'lead' ? ordersFor(state, m, now) : [];
--- a/src/service/controller.ts
+++ b/src/service/controller.ts
@@ -1,5 +1,6 @@
 /** One controller: leads or follows, and answers users, workers and its peers. */
 
+import * as v from 'valibot';
 import { fromTimeOfDay, sleep, steadyNow } from '../adapters/clock.js';
 import { CloudClient } from '../adapters/cloud-client.js';
 import type { Log } from '../adapters/log.js';
@@ -56,6 +57,9 @@
 const ABORT_MS = 3000;
 const LIST_EVERY_MS = 4000;
 const TYPES_EVERY_MS = 60_000;
+const GOSSIP_MS = 800;
+/** After stepping aside for a peer, how long before campaigning again. */
+const ASIDE_MS = 20_000;
 const JOBS_FOLLOW_MS = 15_000;
 /** How much of the state service's limits the leader's batches and each node's admissions may use. */
 const BATCH_SHARE = 0.5;
@@ -68,6 +72,23 @@
 
 export type Lookup = JobView | 'absent' | 'later';
 
+const healthSchema = v.object({
+  leader: v.nullable(v.string()),
+  term: v.pipe(v.number(), v.integer()),
+  workers: v.pipe(v.number(), v.integer()),
+});
+
+interface Health {
+  readonly leader: NodeId | null;
+  readonly term: Term;
+  readonly workers: number;
+}
+
+const readHealth = (answer: unknown): Health | null => {
+  const r = v.safeParse(healthSchema, answer);
+  return r.success ? (r.output as Health) : null;
+};
+
 interface Leadership {
   readonly term: Term;
   readonly owner: Owner;
@@ -94,6 +115,8 @@
   private leading: Leadership | null = null;
   private readonly answers = new Map<Ticket, (orders: readonly Order[] | null) => void>();
   private readonly aborts = new Map<Ticket, (outcome: FinalRecord['outcome'] | null | 'late') => void>();
+  /** Workers that have turned to this node while it did not lead, and when. */
+  private readonly turnedAway = new Map<MachineId, number>();
   private nextTicket = 1;
   private stopped = false;
 
@@ -121,6 +144,7 @@
   start(): void {
     this.spawn('election', () => this.election.run());
     this.spawn('types', () => this.readTypes());
+    this.spawn('gossip', () => this.gossip());
   }
 
   stop(): void {
@@ -321,6 +345,62 @@
     }
   }
 
+  /**
+   * What the state service does not tell a node. A leader cut off from it learns here that another leads, so that
+   * workers do not stay with it; one cut off from the workers alone steps aside for a peer that hears them.
+   */
+  private async gossip(): Promise<void> {
+    while (!this.stopped) {
+      await sleep(this.jitter.around(GOSSIP_MS));
+      const leading = this.leading;
+      const leads = leading !== null && this.authority() === 'lead';
+      if (!leading && !this.state.down(steadyNow())) continue;
+      const heard = leads ? this.hearing(leading) : null;
+      if (leads && !heard) continue;
+      const answers = await Promise.all(
+        [...this.peers.values()].map((peer) => peer.ask({ ask: 'health' }, PEER_MS)),
+      );
+      if (this.leading !== leading) continue;
+      let most = 0;
+      for (const answer of answers) {
+        const health = readHealth(answer);
+        if (!health) continue;
+        most = Math.max(most, health.workers);
+        if (!leads && health.leader !== null) this.election.hear(health.leader, health.term);
+      }
+      if (heard && most > heard.recent) {
+        this.log.info(
+          { ...heard, peerHears: most },
+          'workers reach a peer but not this leader: stepping aside',
+        );
+        this.election.resign(ASIDE_MS);
+      }
+    }
+  }
+
+  /** How many workers a leader has heard of late, when they are suspiciously few. */
+  private hearing(leading: Leadership): { recent: number; known: number } | null {
+    const { core } = leading.owner;
+    const now = steadyNow();
+    const span = this.settings.workers.reportS * 2500;
+    if (now - core.config.acquiredAt < 2 * span) return null;
+    let recent = 0;
+    let known = 0;
+    for (const m of core.machines.values()) {
+      if (!m.everSeen) continue;
+      known += 1;
+      if (now - m.lastSeen < span) recent += 1;
+    }
+    return known >= 2 && recent * 3 < known ? { recent, known } : null;
+  }
+
+  private health(): Health {
+    const now = steadyNow();
+    const span = this.settings.workers.reportS * 2500;
+    for (const [id, at] of this.turnedAway) if (now - at > span) this.turnedAway.delete(id);
+    return { leader: this.election.leaderNode, term: this.election.knownTerm, workers: this.turnedAway.size };
+  }
+
   // ---- effects -----------------------------------------------------------------------------------
 
   private carryOut(effect: Effect): void {
@@ -402,6 +482,7 @@
   > {
     const leading = this.leading;
     if (!leading) {
+      this.turnedAway.set(report.machine, steadyNow());
       const leader = this.election.leaderNode;
       return { kind: 'elsewhere', leader: leader === this.settings.node ? null : leader };
     }
@@ -611,7 +692,7 @@
       case 'list':
         return question.team ? this.listHere(question.team as TeamName) : null;
       case 'health':
-        return { state: !this.state.down(steadyNow()) };
+        return this.health();
     }
   }
 
--- a/src/service/election.ts
+++ b/src/service/election.ts
@@ -22,6 +22,9 @@
   term: Term | null = null;
   validUntil = 0 as Instant;
   leaderNode: NodeId | null = null;
+  /** The term of the leader last heard of. */
+  knownTerm = 0 as Term;
+  private notBefore = 0;
   private stopped = false;
 
   constructor(
@@ -42,7 +45,8 @@
       const item = await this.state.get(LEADER_KEY);
       if (item === 'absent') {
         this.leaderNode = null;
-        await this.campaign(0 as Revision);
+        if (steadyNow() < this.notBefore) await sleep(this.jitter.around(200));
+        else await this.campaign(0 as Revision);
       } else if (typeof item === 'object') {
         const leader = readLeader(item.value);
         if (leader?.node === this.node) {
@@ -50,6 +54,7 @@
           await this.campaign(item.revision);
         } else {
           this.leaderNode = (leader?.node ?? null) as NodeId | null;
+          this.knownTerm = item.revision as number as Term;
           await this.waitForChange(item.revision);
         }
       } else await sleep(this.jitter.around(250));
@@ -70,6 +75,20 @@
     this.events.lost();
   }
 
+  /** What a peer says of the leader, for a node that cannot see the state service itself. */
+  hear(node: NodeId, term: Term): void {
+    if (term <= this.knownTerm || (this.term !== null && term <= this.term)) return;
+    this.deposed();
+    this.knownTerm = term;
+    this.leaderNode = node;
+  }
+
+  /** Gives leadership up for a peer that the workers can reach, and leaves it the time to take over. */
+  resign(pauseMs: number): void {
+    this.notBefore = steadyNow() + pauseMs;
+    this.deposed();
+  }
+
   private async campaign(guard: Revision): Promise<void> {
     const sentAt = steadyNow();
     const lease = await this.state.grant(this.leaseMs);
@@ -92,6 +111,7 @@
     if (this.validUntil <= steadyNow() && (await this.state.renew(lease)) !== 'ok') return;
     this.term = term;
     this.leaderNode = this.node;
+    this.knownTerm = term;
     this.log.info({ term }, 'leading');
     this.events.acquired(term, steadyNow());
     await this.keep(lease, term);
