--- /dev/null
+++ b/test/service.test.ts
@@ -0,0 +1,326 @@
+import { type AddressInfo, connect, createServer, type Server } from 'node:net';
+import pino from 'pino';
+import { afterEach, describe, expect, it } from 'vitest';
+import { makeApi, serveApi } from '../src/adapters/api.js';
+import { encodeFrame, FrameReader, MAX_FRAME, Peer, servePeers } from '../src/adapters/peer-link.js';
+import { Jitter } from '../src/adapters/random.js';
+import { DEFAULT_POLICY, parseSettings } from '../src/adapters/settings.js';
+import { StateClient } from '../src/adapters/state-client.js';
+import type { JobId, MachineId, Revision, SaveOp, Term } from '../src/core/types.js';
+import { Controller } from '../src/service/controller.js';
+import { Persister } from '../src/service/persister.js';
+import { Cloud, post } from './stand-ins/cloud.js';
+import { settingsText } from './stand-ins/settings.js';
+import { StateService } from './stand-ins/state-service.js';
+
+const log = pino({ level: 'silent' });
+const cleanups: (() => void)[] = [];
+afterEach(() => {
+  for (const clean of cleanups.splice(0).reverse()) clean();
+});
+
+const freePort = async (): Promise<number> => {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+};
+
+/** Waits for something to become true; the test's own time-out is the only clock. */
+const until = async <T>(
+  what: () => Promise<T | null | false | undefined> | T | null | false | undefined,
+): Promise<T> => {
+  for (;;) {
+    const value = await what();
+    if (value) return value;
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+};
+
+interface Node {
+  at: string;
+  controller: Controller;
+  stop: () => void;
+}
+
+const cluster = async (count: number, capacity = 3) => {
+  const state = new StateService();
+  const cloud = new Cloud(capacity);
+  const stateAt = await state.listen();
+  const cloudAt = await cloud.listen();
+  cleanups.push(
+    () => state.close(),
+    () => cloud.close(),
+  );
+  const ports: { api: number; back: number }[] = [];
+  for (let i = 0; i < count; i += 1) ports.push({ api: await freePort(), back: await freePort() });
+  cloud.nodes = ports.map((p) => `127.0.0.1:${p.api}`);
+  cloud.names = ports.map((_, i) => `node-${i}`);
+  const start = (i: number): Node => {
+    const base = JSON.parse(settingsText()) as { params: { workers: unknown } };
+    base.params.workers = { report_s: 0.2, lease_s: 16, cancel_s: 40 };
+    const settings = parseSettings(
+      JSON.stringify({
+        ...base,
+        node: `node-${i}`,
+        api_addr: `127.0.0.1:${ports[i]!.api}`,
+        back: `127.0.0.1:${ports[i]!.back}`,
+        seeds: ports.flatMap((p, j) =>
+          j === i ? [] : [{ node: `node-${j}`, zone: 'a', endpoint: `127.0.0.1:${p.back}` }],
+        ),
+        outside: { cloud: cloudAt, state: stateAt },
+      }),
+    );
+    const controller = new Controller(
+      settings,
+      { ...DEFAULT_POLICY, leaderLeaseMs: 600 },
+      log,
+      new Jitter(i + 1),
+    );
+    const api = serveApi(settings, makeApi(controller, log), log);
+    const peers: Server = servePeers(
+      settings.back,
+      (q) => controller.respond(q),
+      () => {},
+    );
+    controller.start();
+    const stop = () => {
+      controller.stop();
+      api.closeAllConnections();
+      api.close();
+      peers.close();
+    };
+    cleanups.push(stop);
+    return { at: `127.0.0.1:${ports[i]!.api}`, controller, stop };
+  };
+  const nodes = ports.map((_, i) => start(i));
+  for (const node of nodes)
+    await until(async () => (await post(node.at, '/up', undefined, 'GET'))?.status === 200);
+  await until(() => nodes.some((n) => n.controller.authority() === 'lead'));
+  return { state, cloud, nodes, start };
+};
+
+const body = (id: string, change: object = {}) => ({
+  Ref: id,
+  Lane: 'any',
+  Crew: 'blue',
+  Shape: 'sweep',
+  Rank: 'standard',
+  Pieces: 3,
+  Cpus: 1,
+  Accelerators: 0,
+  MemoryGb: 1,
+  Bundle: 'img',
+  ImageGb: 1,
+  Hulls: null,
+  Yard: null,
+  OneZone: false,
+  Scatter: false,
+  Loaners: true,
+  GuessS: 5,
+  BookmarkS: 0,
+  StowS: 0,
+  DueS: null,
+  ...change,
+});
+
+const status = async (at: string, id: string) =>
+  (await post(at, `/api/jobs/${id}`, undefined, 'GET')) as {
+    status: number;
+    body: Record<string, unknown>;
+  } | null;
+
+describe('the service against stand-ins', () => {
+  it('runs a job to its end through any node, and says the same of it everywhere and ever after', async () => {
+    const { nodes, cloud, state } = await cluster(3);
+    const [a, b, c] = nodes as [Node, Node, Node];
+    expect((await post(a.at, '/api/jobs', body('job-000001')))?.status).toBe(201);
+    // Stored before the 201.
+    expect(state.keys.has('j/job-000001') || state.keys.has('f/job-000001')).toBe(true);
+    for (const node of [a, b, c]) {
+      await until(async () => (await status(node.at, 'job-000001'))?.body.Status === 'done');
+    }
+    expect(new Set(cloud.starts.map((s) => s.split('#')[0])).size).toBe(3);
+    // A repeat is answered with the job, even with another body and even one that would be refused.
+    for (const change of [{}, { Pieces: 9 }, { Crew: 'nobody' }, { Cpus: -1 }]) {
+      const again = await post(b.at, '/api/jobs', body('job-000001', change));
+      expect([again?.status, (again!.body as { Status: string }).Status]).toEqual([200, 'done']);
+    }
+    const abort = await post(c.at, '/api/jobs/job-000001/abort', {});
+    expect([abort?.status, (abort!.body as { Status: string }).Status]).toEqual([200, 'done']);
+    expect((await status(a.at, 'job-000777'))?.status).toBe(404);
+    expect((await status(a.at, 'nonsense'))?.status).toBe(404);
+    expect((await post(b.at, '/api/jobs/job-000777/abort', {}))?.status).toBe(404);
+  });
+
+  it('refuses what is malformed with 400 and what can never run with 422', async () => {
+    const { nodes } = await cluster(1);
+    const at = nodes[0]!.at;
+    const bad: [unknown, number][] = [
+      ['{', 400],
+      ['[]', 400],
+      ['null', 400],
+      [`{"Ref":"${'x'.repeat(70_000)}"}`, 400],
+      [body('job-1', { Pieces: 0 }), 400],
+      [body('job-1', { Pieces: 1.5 }), 400],
+      [body('job-1', { Pieces: 100_001 }), 400],
+      [body('job-1', { Cpus: -1 }), 400],
+      [body('job-1', { Cpus: '1' }), 400],
+      [JSON.stringify(body('job-1')).replace('"Cpus":1', '"Cpus":1e999'), 400],
+      [body('job-1', { Shape: 'ring' }), 400],
+      [body('job-1', { Rank: 'first' }), 400],
+      [body('job-1', { OneZone: undefined }), 400],
+      [body('task-1'), 400],
+      [body('job-1', { Crew: 'nobody' }), 422],
+      [body('job-1', { Cpus: 9 }), 422],
+      [body('job-1', { Hulls: ['c9'] }), 422],
+      [body('job-1', { Yard: 'z' }), 422],
+      [body('job-1', { Accelerators: 1 }), 422],
+    ];
+    for (const [text, expected] of bad) {
+      expect((await post(at, '/api/jobs', text))?.status, JSON.stringify(text).slice(0, 200)).toBe(expected);
+    }
+    for (const text of ['{', '{}', '{"Berth":7}', '[1]'])
+      expect((await post(at, '/checkin', text))?.status).toBe(400);
+    expect((await status(at, 'job-1'))?.status).toBe(404);
+  });
+
+  it('says withdrawn only once that is stored, and ends the tasks', async () => {
+    const { nodes, cloud, state } = await cluster(2);
+    cloud.taskMs = 10_000_000;
+    const [a, b] = nodes as [Node, Node];
+    await post(a.at, '/api/jobs', body('job-5'));
+    await until(async () => (await status(b.at, 'job-5'))?.body.running === 3);
+    const answer = await until(async () => {
+      const r = await post(b.at, '/api/jobs/job-5/abort', {});
+      return r?.status === 200 ? r : null;
+    });
+    expect((answer.body as { Status: string }).Status).toBe('withdrawn');
+    expect(state.keys.get('f/job-5')?.data).toMatchObject({ o: 'cancelled' });
+    await until(() => [...cloud.workers.values()].every((w) => w.running().length === 0));
+    for (const node of nodes) expect((await status(node.at, 'job-5'))?.body.Status).toBe('withdrawn');
+  });
+
+  it('answers 503 with Retry-After at once while the state service is away, and takes up again after', async () => {
+    const { nodes, state } = await cluster(1);
+    state.down = true;
+    const refused = await post(nodes[0]!.at, '/api/jobs', body('job-8'));
+    expect([refused?.status, refused?.headers['retry-after']]).toEqual([503, '1']);
+    state.down = false;
+    await until(async () => (await post(nodes[0]!.at, '/api/jobs', body('job-8')))?.status === 201);
+    await until(async () => (await status(nodes[0]!.at, 'job-8'))?.body.Status === 'done');
+  });
+
+  it('hands over to another leader that neither loses nor doubles a task', async () => {
+    const { nodes, cloud } = await cluster(3);
+    cloud.taskMs = 10_000_000;
+    const first = nodes.find((n) => n.controller.authority() === 'lead')!;
+    const others = nodes.filter((n) => n !== first);
+    await post(others[0]!.at, '/api/jobs', body('job-9', { Pieces: 6 }));
+    await until(async () => (await status(others[0]!.at, 'job-9'))?.body.running === 6);
+    first.stop();
+    const second = await until(() => others.find((n) => n.controller.authority() === 'lead'));
+    const answer = await until(async () => {
+      const s = await status(second.at, 'job-9');
+      return s?.body.running === 6 ? s : null;
+    });
+    expect(answer.body.Status).toBe('running');
+    expect(cloud.starts).toHaveLength(6);
+  });
+});
+
+describe('the persister', () => {
+  const setUp = async () => {
+    const state = new StateService();
+    cleanups.push(() => state.close());
+    const at = await state.listen();
+    const [host, port] = at.split(':');
+    const client = new StateClient({ host: host!, port: Number(port) }, { rps: 1000, writeRps: 1000 });
+    cleanups.push(() => client.close());
+    state.multi({ Apply: [{ Write: 'leader', Data: {} }] });
+    const persister = new Persister(client, state.epoch as Term, log, new Jitter(3));
+    return { state, persister };
+  };
+  const progress = (bits: number): SaveOp => ({
+    kind: 'progress',
+    job: 'job-1' as JobId,
+    chunk: 0,
+    bits: Uint8Array.of(bits),
+  });
+
+  it('finds out by reading back that an unanswered write was carried out', async () => {
+    const { state, persister } = await setUp();
+    state.swallow = 1;
+    expect(await persister.save([progress(1)])).toBe(true);
+    expect(state.transactions).toBe(1);
+    expect(await persister.save([progress(3)])).toBe(true);
+    expect(state.keys.get('d/job-1/0')?.data).toEqual({ b: 'Aw==' });
+  });
+
+  it('writes again what was not carried out', async () => {
+    const { state, persister } = await setUp();
+    state.drop = 2;
+    expect(await persister.save([progress(1)])).toBe(true);
+    expect(state.transactions).toBe(3);
+  });
+
+  it('gives up once another leads, and changes nothing', async () => {
+    const { state, persister } = await setUp();
+    state.multi({ Apply: [{ Write: 'leader', Data: { node: 'other' } }] });
+    const gone: SaveOp = { kind: 'ledger-gone', machine: 'n-1' as MachineId };
+    expect(await persister.save([progress(1), gone])).toBe(false);
+    expect(state.keys.has('d/job-1/0')).toBe(false);
+  });
+
+  it('a late copy of an older write fails, since each key is guarded by its version', async () => {
+    const { state, persister } = await setUp();
+    await persister.save([progress(1)]);
+    const late = {
+      Guards: [{ Path: 'd/job-1/0', Stamp: 0 as Revision }],
+      Apply: [{ Write: 'd/job-1/0', Data: 'old' }],
+    };
+    await persister.save([progress(3)]);
+    expect(state.multi(late).status).toBe(409);
+  });
+});
+
+describe('the peer link', () => {
+  it('puts frames together again however the stream is cut', () => {
+    const frames = Buffer.concat([encodeFrame({ n: 1 }), encodeFrame({ n: 2, is: 'x'.repeat(500) })]);
+    const reader = new FrameReader();
+    const got: unknown[] = [];
+    for (const byte of frames) got.push(...reader.push(Buffer.of(byte)));
+    expect(got).toEqual([{ n: 1 }, { n: 2, is: 'x'.repeat(500) }]);
+  });
+
+  it('refuses a frame that is too large or of no known form, and goes on serving others', async () => {
+    const port = await freePort();
+    const bad: string[] = [];
+    const server = servePeers(
+      { host: '127.0.0.1', port },
+      () => 'fine',
+      (reason) => bad.push(reason),
+    );
+    cleanups.push(() => server.close());
+    const huge = Buffer.alloc(8);
+    huge.writeUInt32BE(MAX_FRAME + 1);
+    for (const bytes of [
+      huge,
+      encodeFrame({ n: 'one' }),
+      encodeFrame({ n: 1, ask: 'everything' }),
+      Buffer.from([0, 0, 0, 1, 0xc1]),
+    ]) {
+      const before = bad.length;
+      const socket = connect(port, '127.0.0.1');
+      socket.on('error', () => {});
+      socket.write(bytes);
+      await until(() => bad.length > before);
+      socket.destroy();
+    }
+    expect(bad).toHaveLength(4);
+    const peer = new Peer('node-1' as never, { host: '127.0.0.1', port });
+    cleanups.push(() => peer.close());
+    expect(await peer.ask({ ask: 'health' }, 5000)).toBe('fine');
+  });
+});
--- /dev/null
+++ b/test/stand-ins/cloud.ts
@@ -0,0 +1,204 @@
+/** Our own stand-in for the cloud and its workers, written to the protocol; tasks run as long as `taskMs`. */
+import { createServer, type IncomingMessage, request, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { readJson, sendJson } from './state-service.js';
+
+interface Task {
+  Piece: string;
+  Try: number;
+  Status: string;
+  Cause?: string;
+}
+
+type Orders = { Baton: number; Orders: { Verb: string; Piece: string; Try: number }[] };
+
+class Worker {
+  private tick = 0;
+  private baton = 0;
+  private at = 0;
+  private readonly tasks = new Map<string, Task>();
+  private timer: NodeJS.Timeout | null = null;
+  private gone = false;
+
+  constructor(
+    readonly name: string,
+    readonly hull: string,
+    readonly zone: string,
+    readonly spot: boolean,
+    private readonly cloud: Cloud,
+  ) {
+    this.schedule(10);
+  }
+
+  stop(): void {
+    this.gone = true;
+    if (this.timer) clearTimeout(this.timer);
+  }
+
+  private schedule(ms: number): void {
+    if (this.gone) return;
+    if (this.timer) clearTimeout(this.timer);
+    this.timer = setTimeout(() => void this.checkIn(), ms);
+  }
+
+  private report() {
+    this.tick += 1;
+    return {
+      Berth: this.name,
+      Endpoint: '127.0.0.1:9',
+      Hull: this.hull,
+      Yard: this.zone,
+      Loaners: this.spot,
+      Tenure: 1,
+      Tick: this.tick,
+      Baton: this.baton,
+      RecallS: null,
+      Pieces: [...this.tasks.values()],
+    };
+  }
+
+  private async checkIn(): Promise<void> {
+    const nodes = this.cloud.nodes;
+    const reply = await post(nodes[this.at % nodes.length]!, '/checkin', this.report());
+    if (reply?.status === 200) this.execute(reply.body as Orders);
+    else {
+      const leader = (reply?.body as { Foreman?: string } | null)?.Foreman;
+      const named = this.cloud.names.indexOf(leader ?? '');
+      this.at = named >= 0 ? named : this.at + 1;
+    }
+    this.schedule(reply?.status === 200 ? 60 : 30);
+  }
+
+  private execute(answer: Orders): void {
+    if (answer.Baton < this.baton) return;
+    this.baton = answer.Baton;
+    for (const o of answer.Orders) {
+      const held = this.tasks.get(o.Piece);
+      if (o.Verb === 'start' && held?.Try !== o.Try) {
+        const task: Task = { Piece: o.Piece, Try: o.Try, Status: 'running' };
+        this.tasks.set(o.Piece, task);
+        this.cloud.starts.push(`${o.Piece}#${o.Try}`);
+        setTimeout(() => {
+          if (task.Status === 'ended') return;
+          task.Status = 'ended';
+          task.Cause = 'done';
+        }, this.cloud.taskMs);
+      } else if (o.Verb === 'kill' && held?.Try === o.Try && held.Status !== 'ended') {
+        held.Status = 'ended';
+        held.Cause = 'halted';
+      } else if (o.Verb === 'reap' && held?.Try === o.Try && held.Status === 'ended')
+        this.tasks.delete(o.Piece);
+    }
+  }
+
+  running(): string[] {
+    return [...this.tasks.values()].filter((t) => t.Status === 'running').map((t) => t.Piece);
+  }
+}
+
+export const post = (
+  at: string,
+  path: string,
+  body: unknown,
+  method = 'POST',
+): Promise<{ status: number; body: unknown; headers: IncomingMessage['headers'] } | null> =>
+  new Promise((resolve) => {
+    const [host, port] = at.split(':');
+    const text = typeof body === 'string' ? body : body === undefined ? '' : JSON.stringify(body);
+    const headers = { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) };
+    const req = request({ host, port: Number(port), path, method, headers, agent: false }, async (res) => {
+      let answer = '';
+      for await (const part of res) answer += part;
+      let json: unknown = null;
+      try {
+        json = JSON.parse(answer);
+      } catch {
+        json = answer;
+      }
+      resolve({ status: res.statusCode ?? 0, body: json, headers: res.headers });
+    });
+    req.on('error', () => resolve(null));
+    req.end(text);
+  });
+
+export class Cloud {
+  nodes: string[] = [];
+  names: string[] = [];
+  taskMs = 20;
+  readonly starts: string[] = [];
+  readonly workers = new Map<string, Worker>();
+  readonly hires = new Map<string, string[]>();
+  private next = 0;
+  private readonly server: Server;
+
+  constructor(private readonly capacity: number) {
+    this.server = createServer((req, res) => {
+      this.serve(req, res).catch(() => res.destroy());
+    });
+  }
+
+  async listen(): Promise<string> {
+    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  close(): void {
+    for (const w of this.workers.values()) w.stop();
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+
+  private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const body = await readJson(req);
+    const path = (req.url ?? '').split('?')[0];
+    if (path === '/machine_types') {
+      const Hulls = [
+        {
+          Label: 'c8',
+          Cpus: 8,
+          Accelerators: 0,
+          MemoryGb: 32,
+          CacheGb: 50,
+          FetchGbPerS: 1,
+          Price: 1,
+          SpotPrice: 0.3,
+          StartupS: 1,
+          Yards: ['a', 'b'],
+        },
+      ];
+      return sendJson(res, 200, { Hulls });
+    }
+    if (path === '/machines/delete') {
+      for (const name of (body as { Berths: string[] }).Berths) {
+        this.workers.get(name)?.stop();
+        this.workers.delete(name);
+      }
+      return sendJson(res, 200, {});
+    }
+    if (req.method === 'POST') {
+      const b = body as { Hire: string; Hull: string; Yard: string; Loaners: boolean; HowMany: number };
+      const before = this.hires.get(b.Hire);
+      if (before) return sendJson(res, 200, { Berths: before });
+      const free = Math.min(b.HowMany, this.capacity - this.workers.size);
+      if (free <= 0) return sendJson(res, 503, { error: 'no capacity' });
+      const names: string[] = [];
+      for (let i = 0; i < free; i += 1) {
+        const name = `n-${String(this.next++).padStart(6, '0')}`;
+        this.workers.set(name, new Worker(name, b.Hull, b.Yard, b.Loaners, this));
+        names.push(name);
+      }
+      this.hires.set(b.Hire, names);
+      return sendJson(res, 200, { Berths: names });
+    }
+    const Berths = [...this.workers.values()].map((w) => ({
+      Ref: w.name,
+      Endpoint: '127.0.0.1:9',
+      Hull: w.hull,
+      Yard: w.zone,
+      Loaners: w.spot,
+      Status: 'running',
+      HeldS: 1,
+    }));
+    return sendJson(res, 200, { Berths, More: false });
+  }
+}
