--- a/src/adapters/api.ts
+++ b/src/adapters/api.ts
@@ -2,7 +2,7 @@
 import { createServer, type Server } from 'node:http';
 import { getRequestListener } from '@hono/node-server';
 import { type Context, Hono } from 'hono';
-import type { TeamName } from '../core/types.js';
+import type { JobId, TeamName } from '../core/types.js';
 import type { Controller, Lookup } from '../service/controller.js';
 import type { Log } from './log.js';
 import type { Settings } from './settings.js';
@@ -79,21 +79,37 @@
     return jobs ? c.json({ jobs: jobs.map(jobAnswer) }) : later(c, 'no leader to ask');
   });
 
+  /** Scoping, not authentication: with ?team=NAME, another team's job is as good as absent. */
+  const visible = async (c: Context, id: JobId): Promise<Lookup> => {
+    const view = await controller.lookUp(id);
+    const team = c.req.query('team');
+    return typeof view === 'object' && team !== undefined && view.team !== team ? 'absent' : view;
+  };
+
   app.get('/api/jobs/:id', async (c) => {
     const id = parseJobId(c.req.param('id'));
-    return id ? say(c, await controller.lookUp(id)) : c.json({ error: 'no such job' }, 404);
+    return id ? say(c, await visible(c, id)) : c.json({ error: 'no such job' }, 404);
   });
 
   app.get('/api/jobs/:id/explain', async (c) => {
     const id = parseJobId(c.req.param('id'));
     if (!id) return c.json({ error: 'no such job' }, 404);
+    if (c.req.query('team') !== undefined) {
+      const view = await visible(c, id);
+      if (typeof view !== 'object') return say(c, view);
+    }
     const told = await controller.explain(id);
-    return told ? c.json(told) : say(c, await controller.lookUp(id));
+    return told ? c.json(told) : say(c, await visible(c, id));
   });
 
   app.post('/api/jobs/:id/abort', async (c) => {
     const id = parseJobId(c.req.param('id'));
-    return id ? say(c, await controller.abort(id)) : c.json({ error: 'no such job' }, 404);
+    if (!id) return c.json({ error: 'no such job' }, 404);
+    if (c.req.query('team') !== undefined) {
+      const view = await visible(c, id);
+      if (typeof view !== 'object') return say(c, view);
+    }
+    return say(c, await controller.abort(id));
   });
 
   app.notFound((c) => c.json({ error: 'no such path' }, 404));
--- a/src/adapters/cloud-client.ts
+++ b/src/adapters/cloud-client.ts
@@ -19,6 +19,8 @@
 export class CloudClient {
   private readonly http: HttpClient;
   private readonly limiter: RateLimiter;
+  /** The last call got no answer, or one of trouble. */
+  away = false;
 
   constructor(at: Endpoint, rps: number) {
     this.http = new HttpClient(at, 4);
@@ -28,7 +30,10 @@
 
   private async call(method: string, path: string, body?: unknown): Promise<Reply> {
     if (!(await this.limiter.take(1, QUEUE_MS))) return { kind: 'none', sent: false, reason: 'rate' };
-    return this.http.call(method, path, body, REQUEST_MS);
+    const reply = await this.http.call(method, path, body, REQUEST_MS);
+    const error = reply.kind === 'answer' ? (reply.body as { error?: unknown } | null)?.error : undefined;
+    this.away = reply.kind === 'none' || error === 'trouble';
+    return reply;
   }
 
   async types(): Promise<MachineType[] | null> {
--- a/src/adapters/wire.ts
+++ b/src/adapters/wire.ts
@@ -84,6 +84,7 @@
 
 export interface JobView {
   readonly id: JobId;
+  readonly team: TeamName;
   readonly status: 'queued' | 'running' | 'done' | 'cancelled';
   readonly done: number;
   readonly running: number;
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -106,7 +106,7 @@
   state.jobs.delete(job.spec.id);
   if (state.head === job.spec.id) state.head = null;
   const outcome = job.final === 'cancelled' ? 'cancelled' : 'done';
-  effects.push({ kind: 'final', job: job.spec.id, outcome, tasks: job.spec.tasks });
+  effects.push({ kind: 'final', job: job.spec.id, outcome, tasks: job.spec.tasks, team: job.spec.team });
   settle(job, effects);
   killAll(job);
   for (const m of state.machines.values()) m.failedJobs.delete(job.spec.id);
@@ -423,7 +423,8 @@
     if (room() < 2 + chunks.length) break;
     extra += 1 + chunks.length;
     const outcome = job.final === 'cancelled' ? 'cancelled' : 'done';
-    ops.push({ kind: 'final', job: job.spec.id, outcome, tasks: job.spec.tasks, chunks });
+    const { id, tasks, team } = job.spec;
+    ops.push({ kind: 'final', job: id, outcome, tasks, team, chunks });
     batch.finals.push(job);
     state.dirtyFinals.delete(job);
   }
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -159,6 +159,7 @@
       readonly job: JobId;
       readonly outcome: Outcome;
       readonly tasks: number;
+      readonly team: TeamName;
       /** Progress records to drop with it. */
       readonly chunks: readonly number[];
     }
@@ -216,7 +217,13 @@
   | { readonly kind: 'answer'; readonly ticket: Ticket; readonly orders: readonly Order[] | null }
   | { readonly kind: 'save'; readonly batch: number; readonly ops: readonly SaveOp[] }
   | { readonly kind: 'settled'; readonly ticket: Ticket; readonly outcome: Outcome | null }
-  | { readonly kind: 'final'; readonly job: JobId; readonly outcome: Outcome; readonly tasks: number }
+  | {
+      readonly kind: 'final';
+      readonly job: JobId;
+      readonly outcome: Outcome;
+      readonly tasks: number;
+      readonly team: TeamName;
+    }
   | {
       readonly kind: 'rent';
       readonly request: RequestName;
--- a/src/core/view.ts
+++ b/src/core/view.ts
@@ -1,10 +1,11 @@
 /** What users and teams are told of a job: its state, and why it waits. */
 import { rankWaiting, SUSPECT_MACHINES, teamRoom } from './backfill.js';
 import type { CoreState, Job } from './state.js';
-import type { Instant, JobId, Outcome } from './types.js';
+import type { Instant, JobId, Outcome, TeamName } from './types.js';
 
 export interface CoreJobView {
   readonly id: JobId;
+  readonly team: TeamName;
   readonly status: 'queued' | 'running' | Outcome;
   readonly done: number;
   readonly running: number;
@@ -39,6 +40,7 @@
   const waiting = whyWaiting(state, job, now);
   return {
     id,
+    team: job.spec.team,
     status: running > 0 ? 'running' : 'queued',
     done: Math.min(job.doneCount, job.spec.tasks),
     running,
--- a/src/service/controller.ts
+++ b/src/service/controller.ts
@@ -89,6 +89,21 @@
   return r.success ? (r.output as Health) : null;
 };
 
+const viewSchema = v.object({
+  id: v.string(),
+  team: v.string(),
+  status: v.picklist(['queued', 'running', 'done', 'cancelled']),
+  done: v.number(),
+  running: v.number(),
+  waiting: v.optional(v.string()),
+});
+
+/** A peer's word on a job; anything odd counts as no answer. */
+const readView = (answer: unknown): JobView | null => {
+  const r = v.safeParse(viewSchema, answer);
+  return r.success ? (r.output as JobView) : null;
+};
+
 interface Leadership {
   readonly term: Term;
   readonly owner: Owner;
@@ -97,6 +112,7 @@
 
 const finalView = (id: JobId, f: FinalRecord): JobView => ({
   id,
+  team: f.team,
   status: f.outcome,
   done: f.outcome === 'done' ? f.tasks : 0,
   running: 0,
@@ -420,7 +436,7 @@
         return;
       }
       case 'final':
-        this.remember(effect.job, { outcome: effect.outcome, tasks: effect.tasks });
+        this.remember(effect.job, effect);
         this.log.info({ job: effect.job, outcome: effect.outcome }, 'job over');
         return;
       case 'save':
@@ -462,8 +478,8 @@
     }
   }
 
-  private remember(id: JobId, final: FinalRecord): void {
-    this.finals.set(id, final);
+  private remember(id: JobId, { outcome, tasks, team }: FinalRecord): void {
+    this.finals.set(id, { outcome, tasks, team });
     if (this.finals.size > MAX_FINALS) {
       const oldest = this.finals.keys().next().value;
       if (oldest !== undefined) this.finals.delete(oldest);
@@ -564,7 +580,7 @@
       leading.persister.stamps.set(key, revision);
       leading.owner.submit({ kind: 'job', spec: parsed, submittedAt: steadyNow() });
     }
-    return { kind: 'accepted', view: { id, status: 'queued', done: 0, running: 0 } };
+    return { kind: 'accepted', view: { id, team: parsed.team, status: 'queued', done: 0, running: 0 } };
   }
 
   /** A bad repeat of an accepted job is still answered with the job. */
@@ -592,7 +608,16 @@
     // In this order: a job's record and its final one change places in a single transaction.
     const job = await this.state.get(jobKey(id));
     if (typeof job === 'object') {
-      return { id, status: 'queued', done: 0, running: 0, waiting: 'no leader to ask' };
+      const record = readJob(job.value);
+      if (!record) return 'later';
+      return {
+        id,
+        team: record.spec.team,
+        status: 'queued',
+        done: 0,
+        running: 0,
+        waiting: 'no leader to ask',
+      };
     }
     if (job !== 'absent') return 'later';
     const final = await this.state.get(finalKey(id));
@@ -610,10 +635,10 @@
     if (local) return local;
     const leader = this.leaderPeer();
     if (leader) {
-      const answer = (await leader.ask({ ask: 'status', job: id }, PEER_MS)) as JobView | null | undefined;
-      if (answer && typeof answer === 'object' && answer.id === id) {
+      const answer = readView(await leader.ask({ ask: 'status', job: id }, PEER_MS));
+      if (answer?.id === id) {
         if (answer.status === 'done' || answer.status === 'cancelled') {
-          this.remember(id, { outcome: answer.status, tasks: answer.done });
+          this.remember(id, { outcome: answer.status, tasks: answer.done, team: answer.team });
         }
         return answer;
       }
@@ -632,12 +657,9 @@
     if (this.leading) return this.abortHere(id);
     const leader = this.leaderPeer();
     if (leader) {
-      const answer = (await leader.ask({ ask: 'abort', job: id }, ABORT_MS)) as Lookup | undefined;
-      if (
-        answer &&
-        typeof answer === 'object' &&
-        (answer.status === 'done' || answer.status === 'cancelled')
-      ) {
+      const answer = readView(await leader.ask({ ask: 'abort', job: id }, ABORT_MS));
+      if (answer?.id === id && (answer.status === 'done' || answer.status === 'cancelled')) {
+        this.remember(id, { outcome: answer.status, tasks: answer.done, team: answer.team });
         return answer;
       }
     }
@@ -664,8 +686,8 @@
       });
       if (outcome === 'late') return 'later';
       if (outcome !== null) {
-        const record = this.finals.get(id) ?? { outcome, tasks: 0 };
-        return finalView(id, record);
+        const record = this.finals.get(id);
+        return record ? finalView(id, record) : this.storedView(id);
       }
       // Not known here: over, never accepted, or accepted elsewhere a moment ago.
       const item = await this.state.get(jobKey(id));
@@ -698,7 +720,8 @@
 
   private explainHere(id: JobId) {
     if (!this.leading || this.authority() !== 'lead') return null;
-    return explainJob(this.leading.owner.core, id, steadyNow());
+    const told = explainJob(this.leading.owner.core, id, steadyNow());
+    return told ? { ...told, cloud: this.cloud.away ? 'away' : 'ok', state: 'ok' } : null;
   }
 
   private listHere(team: TeamName): JobView[] | null {
@@ -717,13 +740,15 @@
     const here = this.explainHere(id);
     if (here) return here;
     const answer = await this.leaderPeer()?.ask({ ask: 'explain', job: id }, PEER_MS);
-    return answer ?? null;
+    if (answer) return answer;
+    if (!this.state.down(steadyNow())) return null;
+    return { id, waiting: 'the state service is away: nothing starts until it is back', state: 'away' };
   }
 
   async list(team: TeamName): Promise<readonly JobView[] | null> {
     const here = this.listHere(team);
     if (here) return here;
     const answer = await this.leaderPeer()?.ask({ ask: 'list', team }, PEER_MS);
-    return Array.isArray(answer) ? (answer as JobView[]) : null;
+    return Array.isArray(answer) ? answer.map(readView).filter((view) => view !== null) : null;
   }
 }
--- a/src/service/persister.ts
+++ b/src/service/persister.ts
@@ -37,7 +37,7 @@
     const writes: Write[] = [];
     for (const op of ops) {
       if (op.kind === 'final') {
-        writes.push({ put: finalKey(op.job), value: writeFinal({ outcome: op.outcome, tasks: op.tasks }) });
+        writes.push({ put: finalKey(op.job), value: writeFinal(op) });
         writes.push({ del: jobKey(op.job) });
         for (const chunk of op.chunks) {
           const key = progressKey(op.job, chunk);
--- a/src/service/records.ts
+++ b/src/service/records.ts
@@ -69,17 +69,18 @@
   return r.success ? (r.output as unknown as JobRecord) : null;
 };
 
-const finalSchema = v.object({ o: v.picklist(['done', 'cancelled']), n: v.number() });
+const finalSchema = v.object({ o: v.picklist(['done', 'cancelled']), n: v.number(), t: v.string() });
 
 export interface FinalRecord {
   readonly outcome: Outcome;
   readonly tasks: number;
+  readonly team: TeamName;
 }
 
-export const writeFinal = (f: FinalRecord) => ({ o: f.outcome, n: f.tasks });
+export const writeFinal = (f: FinalRecord) => ({ o: f.outcome, n: f.tasks, t: f.team });
 export const readFinal = (value: unknown): FinalRecord | null => {
   const r = v.safeParse(finalSchema, value);
-  return r.success ? { outcome: r.output.o, tasks: r.output.n } : null;
+  return r.success ? { outcome: r.output.o, tasks: r.output.n, team: r.output.t as TeamName } : null;
 };
 
 const progressSchema = v.object({ b: v.string() });
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -230,6 +230,38 @@
   });
 });
 
+describe('a team', () => {
+  it('sees and stops its own jobs only, and is told why they wait', async () => {
+    const { nodes, cloud } = await cluster(2, 1);
+    cloud.taskMs = 10_000_000;
+    const [a, b] = nodes as [Node, Node];
+    await post(a.at, '/api/jobs', body('job-20', { Pieces: 8 }));
+    await until(async () => (await status(a.at, 'job-20'))?.body.running === 8);
+    await post(b.at, '/api/jobs', body('job-21', { Crew: 'green', Pieces: 2 }));
+    const listed = (await until(async () => {
+      const r = await post(b.at, '/api/jobs?team=green', undefined, 'GET');
+      return r?.status === 200 && (r.body as { jobs: unknown[] }).jobs.length > 0 ? r : null;
+    })) as { body: { jobs: { Ref: string }[] } };
+    expect(listed.body.jobs.map((j) => j.Ref)).toEqual(['job-21']);
+    for (const node of [a, b]) {
+      expect((await status(node.at, 'job-20?team=green'))?.status).toBe(404);
+      expect((await post(node.at, '/api/jobs/job-20/abort?team=green', {}))?.status).toBe(404);
+      expect((await status(node.at, 'job-20'))?.body.Status).toBe('running');
+    }
+    await until(async () =>
+      /no machine with room/.test(String((await status(a.at, 'job-21'))?.body.waiting)),
+    );
+    const told = (await status(b.at, 'job-21/explain'))?.body;
+    expect(told).toMatchObject({ team: 'green', rank: 1, ofJobs: 1, head: 'job-21', waitingTasks: 2 });
+    const own = await until(async () => {
+      const r = await post(b.at, '/api/jobs/job-20/abort?team=blue', {});
+      return r?.status === 200 ? r : null;
+    });
+    expect((own.body as { Status: string }).Status).toBe('withdrawn');
+    expect((await status(a.at, 'job-20?team=green'))?.status).toBe(404);
+  });
+});
+
 describe('the persister', () => {
   const setUp = async () => {
     const state = new StateService();
