Renting: several kinds asked at once, and none before the machine list was read

Cause: after a takeover the supply was unknown until the list came, so a new leader could rent a second fleet; and kinds were asked one every 0.5 s.

--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -22,6 +22,8 @@
 } from './types.js';
 
 const RENT_MAX = 50;
+/** Requests under way at once; the cloud's rate is shared with lists and deletions. */
+const RENT_AT_ONCE = 4;
 const DELETE_MAX = 100;
 const RENT_ANSWER_MS = 15_000 as Millis;
 
@@ -85,6 +87,7 @@
   list: readonly ListedMachine[],
   now: Instant,
 ): void => {
+  state.listRead = true;
   const names = new Set<MachineId>();
   for (const item of list) {
     names.add(item.id);
@@ -234,11 +237,13 @@
   now: Instant,
   effects: Effect[],
 ): void => {
+  // Capacity shows only when asked for: several kinds are asked at once, each for its part of what is missing.
+  const open = options.filter((o) => !o.outstanding && now >= o.blockedUntil).slice(0, RENT_AT_ONCE);
+  const part = cpus / Math.max(open.length, 1);
   let missing = cpus;
-  for (const option of options) {
-    if (missing <= 0) return;
-    if (option.outstanding || now < option.blockedUntil || effects.length >= 4) continue;
-    const count = Math.min(RENT_MAX, Math.max(1, Math.ceil(missing / Math.max(option.type.cpus, 0.1))));
+  for (const option of open) {
+    if (missing <= 0 || effects.length >= RENT_AT_ONCE) return;
+    const count = Math.min(RENT_MAX, Math.max(1, Math.ceil(part / Math.max(option.type.cpus, 0.1))));
     state.nextRequest += 1;
     const request = `r-${state.config.term}-${state.nextRequest}` as RequestName;
     option.outstanding = { request, count, askedAt: now };
@@ -256,6 +261,7 @@
 
 const rentals = (state: CoreState, now: Instant): Effect[] => {
   const effects: Effect[] = [];
+  if (!state.listRead) return effects;
   for (const option of state.options.values()) {
     if (option.outstanding && now - option.outstanding.askedAt > RENT_ANSWER_MS) option.outstanding = null;
   }
@@ -269,7 +275,7 @@
   // Jobs that only a few kinds of machine suit: see that at least their own share of those is there.
   let checked = 0;
   for (const job of jobs) {
-    if (effects.length >= 4 || checked >= 50) break;
+    if (effects.length >= RENT_AT_ONCE || checked >= 50) break;
     checked += 1;
     const limit = Math.min(job.pending, teamRoom(state, job));
     if (limit <= 0 || now < job.retryAt) continue;
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -172,6 +172,8 @@
   readonly dirtyFinals: Set<Job>;
   dirtySince: Instant | null;
   placementDue: boolean;
+  /** The cloud's list was read under this term; before, renting could double what a former leader rented. */
+  listRead: boolean;
   lastWorkAt: Instant;
   lastTick: Instant;
   lastPlaced: Instant;
@@ -198,6 +200,7 @@
   dirtyFinals: new Set(),
   dirtySince: null,
   placementDue: false,
+  listRead: false,
   lastWorkAt: config.acquiredAt,
   lastTick: config.acquiredAt,
   lastPlaced: config.acquiredAt,
--- a/test/model/simulated-world.ts
+++ b/test/model/simulated-world.ts
@@ -15,6 +15,7 @@
   JobSpec,
   LedgerEntry,
   LedgerMachine,
+  ListedMachine,
   MachineId,
   Order,
   Report,
@@ -192,6 +193,7 @@
       leader.queue.push({ kind: 'ledger', machine: machine as MachineId, ...record });
     }
     leader.queue.push({ kind: 'loaded' });
+    leader.queue.push({ kind: 'listed', askedAt: this.now as Instant, machines: this.listing() });
   }
 
   private authority(leader: Leader): Authority {
@@ -462,6 +464,18 @@
     if (this.chance(5) && !cut) this.soon(this.int(50, 15_000), () => deliver(this.leader()));
   }
 
+  private listing(): ListedMachine[] {
+    return [...this.workers.values()].map((x) => ({
+      id: x.id as MachineId,
+      endpoint: '127.0.0.1:9',
+      type: 'c8' as TypeName,
+      zone: x.zone as ZoneName,
+      spot: x.spot,
+      status: this.now < x.upAt ? 'booting' : 'running',
+      ageS: 0,
+    }));
+  }
+
   // ---- users and troubles ------------------------------------------------------------------------
 
   private submit(): void {
@@ -539,15 +553,7 @@
       default: {
         const leader = this.leader();
         if (!leader) return;
-        const machines = all.map((x) => ({
-          id: x.id as MachineId,
-          endpoint: '127.0.0.1:9',
-          type: 'c8' as TypeName,
-          zone: x.zone as ZoneName,
-          spot: x.spot,
-          status: this.now < x.upAt ? ('booting' as const) : ('running' as const),
-          ageS: 0,
-        }));
+        const machines = this.listing();
         const askedAt = this.now as Instant;
         this.soon(this.delay(), () => leader.queue.push({ kind: 'listed', askedAt, machines }));
       }
