Tests of machine and leader troubles; the guard against mass deletion counts early

Found by its test: machines that fall silent within one report period crossed the limit one by one, so the first ones were deleted before a majority counted as silent.

--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -151,7 +151,8 @@
   for (const m of state.machines.values()) {
     if (!m.everSeen) continue;
     seen += 1;
-    if (now - m.lastSeen > limit) silent += 1;
+    // Counted early: of machines that all fall silent within a report period, none must be the first to be deleted.
+    if (now - m.lastSeen > limit / 2) silent += 1;
   }
   // When most fall silent at once the fault is more likely ours: give them time to come back.
   const many = silent > 2 && silent * 2 > seen;
--- /dev/null
+++ b/test/troubles.test.ts
@@ -0,0 +1,323 @@
+import { describe, expect, it } from 'vitest';
+import type { CoreState } from '../src/core/state.js';
+import { type Authority, step } from '../src/core/step.js';
+import type {
+  Command,
+  Effect,
+  Instant,
+  JobId,
+  MachineId,
+  Order,
+  Report,
+  ReportedTask,
+  Ticket,
+} from '../src/core/types.js';
+import { explainJob, viewJob } from '../src/core/view.js';
+import { core, job, report, task, type } from './model/build.js';
+
+/** Drives a core by hand; saves are stored at once, so that each test reads like a story. */
+class Story {
+  now = 0;
+  readonly state: CoreState;
+  effects: Effect[] = [];
+  private ticket = 1;
+  private readonly seqs = new Map<string, number>();
+
+  constructor(state: CoreState = core()) {
+    this.state = state;
+    this.send({ kind: 'types', types: [type('c8')] }, { kind: 'loaded' });
+    this.send({ kind: 'listed', askedAt: 0 as Instant, machines: [] });
+    this.pass(3000);
+  }
+
+  send(...commands: Command[]): Effect[] {
+    return this.run('lead', commands);
+  }
+
+  run(authority: Authority, commands: Command[]): Effect[] {
+    const effects = step(this.state, commands, this.now as Instant, authority);
+    const all = [...effects];
+    for (const e of effects) {
+      if (e.kind === 'save') all.push(...this.run(authority, [{ kind: 'saved', batch: e.batch }]));
+    }
+    this.effects.push(...effects);
+    return all;
+  }
+
+  pass(ms: number): Effect[] {
+    const all: Effect[] = [];
+    for (const end = this.now + ms; this.now < end; ) {
+      this.now += Math.min(250, end - this.now);
+      all.push(...this.send({ kind: 'tick' }));
+    }
+    return all;
+  }
+
+  /** A check-in with our term; returns the orders it is answered with. */
+  checkIn(
+    id: string,
+    tasks: ReportedTask[] = [],
+    change: Partial<Report> = {},
+    authority: Authority = 'lead',
+  ) {
+    const seq = (this.seqs.get(id) ?? 0) + 1;
+    this.seqs.set(id, seq);
+    const ticket = this.ticket++ as Ticket;
+    const told = report(id, seq, this.state.config.term, tasks, change);
+    let effects = this.run(authority, [{ kind: 'report', report: told, ticket }]);
+    for (let i = 0; i < 12; i += 1) {
+      const answer = effects.find((e) => e.kind === 'answer' && e.ticket === ticket);
+      if (answer?.kind === 'answer') return answer.orders;
+      this.now += 250;
+      effects = this.run(authority, [{ kind: 'tick' }]);
+    }
+    throw new Error('no answer');
+  }
+
+  /** Two check-ins: after the second the machine is known to obey this term. */
+  up(id: string, change: Partial<Report> = {}): readonly Order[] | null {
+    this.checkIn(id, [], change);
+    return this.checkIn(id, [], change);
+  }
+
+  submit(id: string, change: object = {}): void {
+    this.send({ kind: 'job', spec: job(id, change), submittedAt: this.now as Instant });
+  }
+
+  starts(orders: readonly Order[] | null): Order[] {
+    return (orders ?? []).filter((o) => o.op === 'start');
+  }
+}
+
+const running = (o: Order) => task(o.job, o.index, o.attempt);
+const ended = (o: Order, cause: ReportedTask['cause']) => task(o.job, o.index, o.attempt, 'ended', cause);
+
+describe('machines in trouble', () => {
+  it('replaces a machine that fails tasks of several jobs', () => {
+    const s = new Story();
+    s.submit('job-1');
+    s.submit('job-2');
+    const starts = s.starts(s.up('n-1'));
+    expect(starts).toHaveLength(2);
+    s.checkIn(
+      'n-1',
+      starts.map((o) => ended(o, 'error')),
+    );
+    expect(s.state.machines.get('n-1' as MachineId)?.draining).toBe(true);
+    s.checkIn('n-1');
+    expect(s.pass(1000).some((e) => e.kind === 'delete' && e.machines.includes('n-1' as MachineId))).toBe(
+      true,
+    );
+  });
+
+  it('does not blame machines for a job that fails on all of them, and tries it with pauses until cancelled', () => {
+    const s = new Story();
+    s.submit('job-1', { tasks: 1 });
+    let tries = 0;
+    for (const id of ['n-1', 'n-2', 'n-3']) s.up(id);
+    for (let round = 0; round < 40; round += 1) {
+      for (const id of ['n-1', 'n-2', 'n-3']) {
+        const starts = s.starts(s.checkIn(id));
+        tries += starts.length;
+        if (starts.length > 0)
+          s.checkIn(
+            id,
+            starts.map((o) => ended(o, 'error')),
+          );
+      }
+    }
+    expect(tries).toBeGreaterThan(3);
+    expect(tries).toBeLessThan(14);
+    for (const m of s.state.machines.values()) expect(m.draining).toBe(false);
+    // It holds back nobody: another job gets the machines at once.
+    s.submit('job-2', { tasks: 8 });
+    expect(s.state.head).not.toBe('job-1');
+    expect(explainJob(s.state, 'job-1' as JobId, s.now as Instant)?.failsEverywhere).toBe(true);
+  });
+
+  it('starts tasks of a silent machine elsewhere only once the cloud has deleted it', () => {
+    const s = new Story();
+    for (const id of ['n-1', 'n-2', 'n-3']) s.up(id);
+    s.submit('job-1');
+    const holder = ['n-1', 'n-2', 'n-3'].find((id) => s.starts(s.checkIn(id)).length > 0)!;
+    const others = ['n-1', 'n-2', 'n-3'].filter((id) => id !== holder);
+    let asked = false;
+    for (let i = 0; i < 2; i += 1) {
+      const effects = s.pass(2500);
+      asked ||= effects.some((e) => e.kind === 'delete' && e.machines.includes(holder as MachineId));
+      for (const id of others) expect(s.starts(s.checkIn(id))).toEqual([]);
+    }
+    expect(asked).toBe(true);
+    s.send({ kind: 'deleted', machines: [holder as MachineId], ok: true });
+    const again = others.flatMap((id) => s.starts(s.checkIn(id)));
+    expect(again).toHaveLength(1);
+    // What the deleted machine still says is late and changes nothing.
+    expect(s.checkIn(holder, [])).toBeNull();
+    expect(s.state.machines.has(holder as MachineId)).toBe(false);
+  });
+
+  it('deletes nothing at once when most machines fall silent together', () => {
+    const s = new Story();
+    const ids = ['n-1', 'n-2', 'n-3', 'n-4'];
+    for (const id of ids) s.up(id);
+    // Their last words come a moment apart.
+    for (const id of ids) {
+      s.send({ kind: 'report', report: report(id, 50, 7), ticket: 800 as Ticket });
+      s.now += 400;
+    }
+    expect(s.pass(20_000).filter((e) => e.kind === 'delete')).toEqual([]);
+    expect(s.pass(20_000).filter((e) => e.kind === 'delete')).not.toEqual([]);
+  });
+
+  it('clears a machine with a notice: saves what can be saved, restarts elsewhere what would not end in time', () => {
+    const s = new Story();
+    s.submit('job-1', { tasks: 1, estimateS: 100, checkpointS: 10, saveS: 3 });
+    s.submit('job-2', { tasks: 1, estimateS: 100 });
+    s.submit('job-3', { tasks: 1, estimateS: 2 });
+    const starts = s.starts(s.up('n-1'));
+    expect(starts).toHaveLength(3);
+    s.checkIn('n-1', starts.map(running));
+    s.checkIn('n-1', starts.map(running), { noticeS: 9 });
+    s.pass(500);
+    const orders = s.checkIn('n-1', starts.map(running), { noticeS: 8.5 }) ?? [];
+    const kills = new Map(orders.filter((o) => o.op === 'kill').map((o) => [o.job as string, o]));
+    expect([...kills.keys()].sort()).toEqual(['job-1', 'job-2']);
+    expect(kills.get('job-1')).toMatchObject({ graceS: expect.closeTo(8, 0) });
+    expect(kills.get('job-2')).toMatchObject({ graceS: 0 });
+  });
+
+  it('does not take a machine that a new leader hears of late for one that never came up', () => {
+    const s = new Story();
+    const machines = [
+      {
+        id: 'n-7' as MachineId,
+        endpoint: '127.0.0.1:9',
+        type: 'c8' as never,
+        zone: 'a' as never,
+        spot: true,
+        status: 'running' as const,
+        ageS: 900,
+      },
+    ];
+    s.send({ kind: 'listed', askedAt: s.now as Instant, machines });
+    expect(s.pass(10_000).filter((e) => e.kind === 'delete')).toEqual([]);
+  });
+
+  it('replaces a machine that never comes up', () => {
+    const s = new Story();
+    s.submit('job-1');
+    const rent = s.effects.find((e) => e.kind === 'rent');
+    if (rent?.kind !== 'rent') throw new Error('nothing rented');
+    s.send({ kind: 'rented', request: rent.request, result: 'ok', machines: ['n-1' as MachineId] });
+    expect(s.pass(60_000).filter((e) => e.kind === 'delete')).toEqual([]);
+    expect(s.pass(10_000).find((e) => e.kind === 'delete')).toMatchObject({ machines: ['n-1'] });
+  });
+});
+
+describe('a leader', () => {
+  it('rents nothing before it has read the machine list, and no request name twice', () => {
+    const state = core();
+    const tick = (at: number) => step(state, [{ kind: 'tick' }], at as Instant, 'lead');
+    step(state, [{ kind: 'types', types: [type('c8')] }, { kind: 'loaded' }], 0 as Instant, 'lead');
+    expect([1000, 2000, 3000].flatMap(tick).filter((e) => e.kind === 'rent')).toEqual([]);
+    step(state, [{ kind: 'listed', askedAt: 3000 as Instant, machines: [] }], 3000 as Instant, 'lead');
+    const names: string[] = [];
+    for (let at = 4000; at < 90_000; at += 500) {
+      for (const e of tick(at)) {
+        if (e.kind !== 'rent') continue;
+        names.push(e.request);
+        step(
+          state,
+          [{ kind: 'rented', request: e.request, result: 'refused', machines: [] }],
+          at as Instant,
+          'lead',
+        );
+      }
+    }
+    expect(names.length).toBeGreaterThan(5);
+    expect(new Set(names).size).toBe(names.length);
+    for (const name of names) expect(name).toMatch(/^r-7-/);
+  });
+
+  it('without a valid lease keeps workers alive with empty answers, and then turns them away', () => {
+    const s = new Story();
+    s.submit('job-1', { tasks: 4 });
+    const starts = s.starts(s.up('n-1'));
+    expect(starts).toHaveLength(4);
+    s.submit('job-2', { tasks: 4 });
+    expect(s.checkIn('n-1', starts.map(running), {}, 'keep-alive')).toEqual([]);
+    const silent = s.run('keep-alive', [{ kind: 'tick' }]);
+    expect(silent.filter((e) => e.kind !== 'note')).toEqual([]);
+    expect(s.checkIn('n-1', starts.map(running), {}, 'none')).toBeNull();
+  });
+
+  it('leaves a recorded task where it is until its machine proves it absent under this term', () => {
+    const state = core();
+    const entry = {
+      job: 'job-1',
+      index: 0,
+      attempt: 5,
+      team: 'blue',
+      cpus: 1,
+      gpus: 0,
+      memoryGb: 1,
+    } as never;
+    const at = { type: 'c8', zone: 'a', spot: false } as never;
+    state.config.teams.get('blue' as never);
+    step(state, [{ kind: 'job', spec: job('job-1'), submittedAt: 0 as Instant }], 0 as Instant, 'lead');
+    step(
+      state,
+      [{ kind: 'ledger', machine: 'n-1' as MachineId, at, entries: [entry] }],
+      0 as Instant,
+      'lead',
+    );
+    const s = new Story(state);
+    s.up('n-2');
+    expect(s.starts(s.checkIn('n-2'))).toEqual([]);
+    // A report from before this term, and a reply to direct orders, prove nothing.
+    s.send({ kind: 'report', report: report('n-1', 1, 6), ticket: 900 as Ticket });
+    s.send({ kind: 'report', report: report('n-1', 2, 7), ticket: null });
+    expect(s.starts(s.checkIn('n-2'))).toEqual([]);
+    s.send({ kind: 'report', report: report('n-1', 3, 7), ticket: 901 as Ticket });
+    const starts = [...s.starts(s.checkIn('n-2'))];
+    for (const e of s.effects)
+      if (e.kind === 'answer' && e.ticket === 901) starts.push(...s.starts(e.orders));
+    expect(starts).toHaveLength(1);
+    expect(starts[0]?.attempt).toBeGreaterThan(7_000_000 - 1);
+  });
+
+  it('tells the worker to drop a result only once it is stored', () => {
+    const s = new Story();
+    s.submit('job-1', { tasks: 2 });
+    const starts = s.starts(s.up('n-1'));
+    const told = [ended(starts[0]!, 'done'), running(starts[1]!)];
+    const held: Effect[] = step(
+      s.state,
+      [{ kind: 'report', report: report('n-1', 50, 7, told), ticket: 700 as Ticket }],
+      s.now as Instant,
+      'lead',
+    );
+    const answer = held.find((e) => e.kind === 'answer');
+    expect(answer).toMatchObject({ orders: [] });
+    s.pass(2000);
+    const later = s.state.machines.get('n-1' as MachineId)!;
+    later.seq = 0;
+    expect(s.checkIn('n-1', told)).toMatchObject([{ op: 'reap', index: starts[0]!.index }]);
+  });
+
+  it('stops a cancelled job at once, even where its start is still under way, once the cancellation is stored', () => {
+    const s = new Story();
+    s.submit('job-1', { tasks: 2 });
+    const starts = s.starts(s.up('n-1'));
+    s.checkIn('n-1', [running(starts[0]!)]);
+    const effects = s.send({ kind: 'abort', job: 'job-1' as JobId, ticket: 77 as Ticket });
+    const order = effects.map((e) => e.kind);
+    expect(order.indexOf('save')).toBeLessThan(order.indexOf('settled'));
+    expect(effects.find((e) => e.kind === 'orders')).toMatchObject({
+      orders: [{ op: 'kill' }, { op: 'kill' }],
+    });
+    // The worker got the second start after all: it is told again.
+    expect(s.checkIn('n-1', starts.map(running))).toMatchObject([{ op: 'kill' }, { op: 'kill' }]);
+    expect(viewJob(s.state, 'job-1' as JobId, s.now as Instant)).toBeNull();
+  });
+});
