--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,46 +1,56 @@
-#!/usr/bin/env node
 import { Command } from 'commander';
 
-const program = new Command('robinspread').description('cluster scheduler service').version('0.1.0');
+const build = (): Command => {
+  const program = new Command('robinspread').description('cluster scheduler service').version('0.1.0');
 
-program
-  .command('serve')
-  .description('run one controller')
-  .requiredOption('--config <file>', "the platform's settings (JSON)")
-  .option('--policy <file>', "the operators' policy (S-expressions)")
-  .action(async (options: { config: string; policy?: string }) => {
-    const { serve } = await import('./serve.js');
-    await serve(options);
-  });
+  program
+    .command('serve')
+    .description('run one controller')
+    .requiredOption('--config <file>', "the platform's settings (JSON)")
+    .option('--policy <file>', "the operators' policy (S-expressions)")
+    .action(async (options: { config: string; policy?: string }) => {
+      const { serve } = await import('./serve.js');
+      await serve(options);
+    });
 
-program
-  .command('check-config')
-  .description('check a settings file and a policy file')
-  .requiredOption('--config <file>', "the platform's settings (JSON)")
-  .option('--policy <file>', "the operators' policy (S-expressions)")
-  .action(async (options: { config: string; policy?: string }) => {
-    const { checkConfig } = await import('./check-config.js');
-    checkConfig(options);
-  });
+  program
+    .command('check-config')
+    .description('check a settings file and a policy file')
+    .requiredOption('--config <file>', "the platform's settings (JSON)")
+    .option('--policy <file>', "the operators' policy (S-expressions)")
+    .action(async (options: { config: string; policy?: string }) => {
+      const { checkConfig } = await import('./check-config.js');
+      checkConfig(options);
+    });
 
-program
-  .command('explain')
-  .description('why a job waits')
-  .argument('<job>', 'job id')
-  .requiredOption('--at <host:port>', 'a controller')
-  .action(async (job: string, options: { at: string }) => {
-    const { explain } = await import('./ask.js');
-    await explain(job, options.at);
-  });
+  program
+    .command('explain')
+    .description('why a job waits')
+    .argument('<job>', 'job id')
+    .requiredOption('--at <host:port>', 'a controller')
+    .action(async (job: string, options: { at: string }) => {
+      const { explain } = await import('./ask.js');
+      await explain(job, options.at);
+    });
 
-program
-  .command('jobs')
-  .description("list a team's unfinished jobs")
-  .requiredOption('--at <host:port>', 'a controller')
-  .requiredOption('--team <name>', 'the team')
-  .action(async (options: { at: string; team: string }) => {
-    const { jobs } = await import('./ask.js');
-    await jobs(options.team, options.at);
-  });
+  program
+    .command('jobs')
+    .description("list a team's unfinished jobs")
+    .requiredOption('--at <host:port>', 'a controller')
+    .requiredOption('--team <name>', 'the team')
+    .action(async (options: { at: string; team: string }) => {
+      const { jobs } = await import('./ask.js');
+      await jobs(options.team, options.at);
+    });
+  return program;
+};
 
-void program.parseAsync();
+export const run = async (argv: readonly string[]): Promise<void> => {
+  await build().parseAsync(argv);
+};
+
+/** For the build: loads what `serve` needs, so that its compiled code can be kept. */
+export const warm = async (): Promise<void> => {
+  build().helpInformation();
+  await import('./serve.js');
+};
