--- a/src/adapters/api.ts
+++ b/src/adapters/api.ts
@@ -13,7 +13,7 @@
 const MAX_REPORT = 4 * 1024 * 1024;
 const RETRY_AFTER_S = '1';
 /** Requests under way beyond which new work is turned away: memory is bounded by it. */
-const MAX_IN_FLIGHT = 400;
+export const MAX_IN_FLIGHT = 400;
 
 const later = (c: Context, reason: string) =>
   c.json({ error: reason }, 503, { 'Retry-After': RETRY_AFTER_S });
--- a/src/service/controller.ts
+++ b/src/service/controller.ts
@@ -46,6 +46,7 @@
   readJob,
   readLedger,
   readProgress,
+  readTypes,
   TYPES_KEY,
 } from './records.js';
 
@@ -349,7 +350,7 @@
   private async readTypes(): Promise<void> {
     while (!this.stopped && !this.types) {
       const [stored, fresh] = await Promise.all([this.state.get(TYPES_KEY), this.cloud.types()]);
-      this.types ??= fresh ?? (typeof stored === 'object' ? (stored.value as MachineType[]) : null);
+      this.types ??= fresh ?? (typeof stored === 'object' ? readTypes(stored.value) : null);
       if (fresh && stored === 'absent') {
         await this.state.txn(
           [{ key: TYPES_KEY, revision: 0 as Revision }],
--- a/src/service/owner.ts
+++ b/src/service/owner.ts
@@ -5,7 +5,7 @@
 import { steadyNow } from '../adapters/clock.js';
 import type { CoreState } from '../core/state.js';
 import { type Authority, step } from '../core/step.js';
-import type { Command, Effect } from '../core/types.js';
+import type { Command, Effect, Instant } from '../core/types.js';
 
 const MAX_PAUSE_MS = 250;
 const PAUSE_FACTOR = 1.5;
@@ -22,6 +22,7 @@
     readonly core: CoreState,
     private readonly authority: () => Authority,
     private readonly carryOut: (effect: Effect) => void,
+    private readonly clock: () => Instant = steadyNow,
   ) {}
 
   submit(command: Command): void {
@@ -44,7 +45,7 @@
 
   private wake(): void {
     if (this.timer || this.stopped) return;
-    this.timer = setTimeout(() => this.run(), Math.max(0, this.nextAt - steadyNow()));
+    this.timer = setTimeout(() => this.run(), Math.max(0, this.nextAt - this.clock()));
   }
 
   private run(): void {
@@ -52,10 +53,10 @@
     if (this.stopped) return;
     const commands = this.queue;
     this.queue = [];
-    const before = steadyNow();
+    const before = this.clock();
     const effects = step(this.core, commands, before, this.authority());
     for (const effect of effects) this.carryOut(effect);
-    const after = steadyNow();
+    const after = this.clock();
     this.nextAt = after + Math.min(MAX_PAUSE_MS, (after - before) * PAUSE_FACTOR);
     if (this.queue.length > 0) this.wake();
   }
--- a/src/service/records.ts
+++ b/src/service/records.ts
@@ -7,6 +7,7 @@
   LedgerEntry,
   LedgerMachine,
   MachineId,
+  MachineType,
   Outcome,
   TaskIndex,
   TeamName,
@@ -69,6 +70,24 @@
   return r.success ? (r.output as unknown as JobRecord) : null;
 };
 
+const typesSchema = v.array(
+  v.object({
+    name: v.string(),
+    cpus: amount,
+    gpus: amount,
+    memoryGb: amount,
+    fetchGbPerS: amount,
+    price: amount,
+    spotPrice: amount,
+    bootS: amount,
+    zones: v.array(v.string()),
+  }),
+);
+export const readTypes = (value: unknown): MachineType[] | null => {
+  const r = v.safeParse(typesSchema, value);
+  return r.success ? (r.output as unknown as MachineType[]) : null;
+};
+
 const finalSchema = v.object({ o: v.picklist(['done', 'cancelled']), n: v.number(), t: v.string() });
 
 export interface FinalRecord {
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -1,14 +1,17 @@
 import { type AddressInfo, connect, createServer, type Server } from 'node:net';
+import { Hono } from 'hono';
 import pino from 'pino';
-import { afterEach, describe, expect, it } from 'vitest';
-import { makeApi, serveApi } from '../src/adapters/api.js';
+import { afterEach, describe, expect, it, vi } from 'vitest';
+import { MAX_IN_FLIGHT, makeApi, serveApi } from '../src/adapters/api.js';
 import { encodeFrame, FrameReader, MAX_FRAME, Peer, servePeers } from '../src/adapters/peer-link.js';
 import { Jitter } from '../src/adapters/random.js';
 import { DEFAULT_POLICY, parseSettings } from '../src/adapters/settings.js';
 import { StateClient } from '../src/adapters/state-client.js';
-import type { JobId, MachineId, Revision, SaveOp, Term } from '../src/core/types.js';
+import type { Instant, JobId, MachineId, Revision, SaveOp, Term, Ticket } from '../src/core/types.js';
 import { Controller } from '../src/service/controller.js';
+import { Owner } from '../src/service/owner.js';
 import { Persister } from '../src/service/persister.js';
+import { core } from './model/build.js';
 import { Cloud, post } from './stand-ins/cloud.js';
 import { settingsText } from './stand-ins/settings.js';
 import { StateService } from './stand-ins/state-service.js';
@@ -47,7 +50,7 @@
 const cluster = async (count: number, capacity = 3) => {
   const state = new StateService();
   const cloud = new Cloud(capacity);
-  const stateAt = await state.listen();
+  const fronts = await Promise.all(Array.from({ length: count }, () => state.front()));
   const cloudAt = await cloud.listen();
   cleanups.push(
     () => state.close(),
@@ -69,7 +72,7 @@
         seeds: ports.flatMap((p, j) =>
           j === i ? [] : [{ node: `node-${j}`, zone: 'a', endpoint: `127.0.0.1:${p.back}` }],
         ),
-        outside: { cloud: cloudAt, state: stateAt },
+        outside: { cloud: cloudAt, state: fronts[i]!.at },
       }),
     );
     const controller = new Controller(
@@ -98,7 +101,7 @@
   for (const node of nodes)
     await until(async () => (await post(node.at, '/up', undefined, 'GET'))?.status === 200);
   await until(() => nodes.some((n) => n.controller.authority() === 'lead'));
-  return { state, cloud, nodes, start };
+  return { state, cloud, nodes, fronts };
 };
 
 const body = (id: string, change: object = {}) => ({
@@ -230,6 +233,37 @@
   });
 });
 
+describe('a leader that is cut off', () => {
+  const leaderOf = (nodes: Node[]) => nodes.find((n) => n.controller.authority() === 'lead');
+
+  it('from the state service alone learns from a peer that another leads, and keeps no workers', async () => {
+    const { nodes, fronts, cloud } = await cluster(3);
+    cloud.taskMs = 10_000_000;
+    const old = leaderOf(nodes)!;
+    await post(old.at, '/api/jobs', body('job-31'));
+    await until(async () => (await status(old.at, 'job-31'))?.body.running === 3);
+    fronts[nodes.indexOf(old)]!.refuse = true;
+    const next = await until(() => leaderOf(nodes.filter((n) => n !== old)));
+    // It cannot read this from the state service: only a peer can have told it.
+    await until(() => old.controller.election.leaderNode === `node-${nodes.indexOf(next)}`);
+    expect(old.controller.authority()).toBe('none');
+    await until(async () => (await status(next.at, 'job-31'))?.body.running === 3);
+    expect(cloud.starts).toHaveLength(3);
+  });
+
+  it('from the workers alone steps aside for a peer that hears them', async () => {
+    const { nodes, cloud } = await cluster(2);
+    const old = leaderOf(nodes)!;
+    const next = nodes.find((n) => n !== old)!;
+    await post(old.at, '/api/jobs', body('job-32'));
+    await until(async () => (await status(old.at, 'job-32'))?.body.Status === 'done');
+    cloud.nodes[nodes.indexOf(old)] = `127.0.0.1:${await freePort()}`;
+    await until(() => next.controller.authority() === 'lead');
+    await post(old.at, '/api/jobs', body('job-33'));
+    await until(async () => (await status(old.at, 'job-33'))?.body.Status === 'done');
+  });
+});
+
 describe('a team', () => {
   it('sees and stops its own jobs only, and is told why they wait', async () => {
     const { nodes, cloud } = await cluster(2, 1);
@@ -317,6 +351,79 @@
   });
 });
 
+describe('under overload', () => {
+  it('turns users away at once beyond a bound, with Retry-After, and serves again when there is room', async () => {
+    const port = await freePort();
+    const given = parseSettings(settingsText({ api_addr: `127.0.0.1:${port}` }));
+    const settings = { ...given, quota: { ...given.quota, maxConnections: 1000 } };
+    const app = new Hono();
+    const held: (() => void)[] = [];
+    let fast = false;
+    app.get('/slow', async (c) => {
+      if (!fast) await new Promise<void>((resolve) => held.push(resolve));
+      return c.json({});
+    });
+    const server = serveApi(settings, app, log);
+    cleanups.push(
+      () => server.close(),
+      () => server.closeAllConnections(),
+    );
+    const at = `127.0.0.1:${port}`;
+    await until(() => server.listening);
+    const waiting = Array.from({ length: MAX_IN_FLIGHT }, () => post(at, '/slow', undefined, 'GET'));
+    await until(() => held.length === MAX_IN_FLIGHT);
+    const refused = await post(at, '/slow', undefined, 'GET');
+    expect([refused?.status, refused?.headers['retry-after']]).toEqual([503, '1']);
+    fast = true;
+    for (const release of held) release();
+    for (const answer of await Promise.all(waiting)) expect(answer?.status).toBe(200);
+    expect((await post(at, '/slow', undefined, 'GET'))?.status).toBe(200);
+    expect(server.maxConnections).toBeLessThan(settings.quota.maxConnections);
+  });
+
+  it('widens its batches: what comes in while a round is paid off is decided together', () => {
+    vi.useFakeTimers();
+    cleanups.push(() => vi.useRealTimers());
+    const steps: number[] = [];
+    const state = core();
+    let cost = 0;
+    const owner = new Owner(
+      state,
+      () => {
+        // Stands for a costly decision: the clock moves on while it is made.
+        vi.setSystemTime(Date.now() + cost);
+        clock += cost;
+        return 'lead';
+      },
+      (effect) => {
+        if (effect.kind === 'settled') steps[steps.length - 1]! += 1;
+      },
+      () => clock as Instant,
+    );
+    let clock = 0;
+    const abort = () => owner.submit({ kind: 'abort', job: 'job-1' as JobId, ticket: 1 as Ticket });
+    const load = (every: number, count: number) => {
+      steps.length = 0;
+      for (let i = 0; i < count; i += 1) {
+        abort();
+        clock += every;
+        const before = state.lastTick;
+        steps.push(0);
+        vi.advanceTimersByTime(every);
+        expect(state.lastTick).toBe(before);
+      }
+      return Math.max(...steps);
+    };
+    owner.start([]);
+    vi.advanceTimersByTime(1);
+    const light = load(2, 40);
+    cost = 40;
+    const heavy = load(2, 40);
+    expect(light).toBe(1);
+    expect(heavy).toBeGreaterThan(5);
+  });
+});
+
 describe('the peer link', () => {
   it('puts frames together again however the stream is cut', () => {
     const frames = Buffer.concat([encodeFrame({ n: 1 }), encodeFrame({ n: 2, is: 'x'.repeat(500) })]);
--- a/test/stand-ins/state-service.ts
+++ b/test/stand-ins/state-service.ts
@@ -47,6 +47,7 @@
   /** Drops the next transactions without carrying them out. */
   drop = 0;
   transactions = 0;
+  private readonly fronts: Server[] = [];
   private readonly server: Server;
 
   constructor() {
@@ -60,7 +61,24 @@
     return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
   }
 
+  /** Another address of the same service, which can be made to answer 503 by itself. */
+  async front(): Promise<{ at: string; refuse: boolean }> {
+    const front = { at: '', refuse: false };
+    const server = createServer((req, res) => {
+      if (front.refuse) return sendJson(res, 503, { error: 'trouble' });
+      this.serve(req, res).catch(() => res.destroy());
+    });
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    front.at = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    this.fronts.push(server);
+    return front;
+  }
+
   close(): void {
+    for (const server of this.fronts) {
+      server.closeAllConnections();
+      server.close();
+    }
     for (const { timer } of this.holds.values()) clearTimeout(timer);
     this.server.closeAllConnections();
     this.server.close();
