Odd messages: names that cannot be keys, ports that cannot be, tasks a job does not have

Each could end a node or block the leader's batches: a port above 65535 threw out of the HTTP client, a machine name with a space made every later transaction malformed, a task index beyond the job miscounted its waiting tasks. Now refused or only counted and killed, with tests.

--- a/src/adapters/http-client.ts
+++ b/src/adapters/http-client.ts
@@ -1,5 +1,5 @@
 /** JSON over Node's own HTTP client, with keep-alive, a deadline for the whole exchange and bounded answers. */
-import { Agent, request } from 'node:http';
+import { Agent, type ClientRequest, request } from 'node:http';
 import type { Endpoint } from './settings.js';
 
 export type Reply =
@@ -35,14 +35,22 @@
         text === undefined
           ? {}
           : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) };
-      const req = request({
+      const options = {
         host: this.at.host,
         port: this.at.port,
         method,
         path,
         headers,
         agent: this.agent,
-      });
+      };
+      let req: ClientRequest;
+      try {
+        req = request(options);
+      } catch (error) {
+        // An address that cannot be one, say a port above 65535: refused, not a reason to end.
+        resolve({ kind: 'none', sent: false, reason: (error as Error).message });
+        return;
+      }
       const fail = (reason: string) => {
         finish({ kind: 'none', sent: connected, reason });
         req.destroy();
--- a/src/adapters/settings.ts
+++ b/src/adapters/settings.ts
@@ -10,7 +10,11 @@
 const amount = v.pipe(v.number(), v.finite(), v.minValue(0));
 const positive = v.pipe(v.number(), v.finite(), v.gtValue(0));
 const whole = v.pipe(v.number(), v.integer(), v.minValue(1));
-const address = v.pipe(v.string(), v.regex(/^[^:\s]+:\d{1,5}$/, 'must be HOST:PORT'));
+const address = v.pipe(
+  v.string(),
+  v.regex(/^[^:\s]+:\d{1,5}$/, 'must be HOST:PORT'),
+  v.check((text) => parseEndpoint(text).port <= 65_535, 'must be HOST:PORT'),
+);
 const optionalAmount = v.nullish(amount, 0);
 
 const settingsSchema = v.object({
--- a/src/adapters/wire.ts
+++ b/src/adapters/wire.ts
@@ -23,6 +23,8 @@
 const JOB_ID = /^job-\d{1,18}$/;
 const amount = v.pipe(v.number(), v.finite(), v.minValue(0), v.maxValue(1e12));
 const label = v.pipe(v.string(), v.minLength(1), v.maxLength(200));
+/** Names that become part of a key of the state service, which would refuse others for good. */
+const keyLabel = v.pipe(v.string(), v.regex(/^[\w.-]{1,120}$/));
 const count = v.pipe(v.number(), v.integer(), v.minValue(0), v.maxValue(Number.MAX_SAFE_INTEGER));
 
 export const parseJobId = (text: unknown): JobId | null =>
@@ -112,7 +114,7 @@
 });
 
 const reportSchema = v.object({
-  Berth: label,
+  Berth: keyLabel,
   Endpoint: label,
   Hull: label,
   Yard: label,
@@ -215,7 +217,7 @@
   }));
 };
 
-const namesSchema = v.object({ Berths: v.array(label) });
+const namesSchema = v.object({ Berths: v.array(keyLabel) });
 
 export const parseNames = (body: unknown): MachineId[] | null => {
   const result = v.safeParse(namesSchema, body);
@@ -225,7 +227,7 @@
 const listSchema = v.object({
   Berths: v.array(
     v.object({
-      Ref: label,
+      Ref: keyLabel,
       Endpoint: v.nullish(v.string(), ''),
       Hull: label,
       Yard: label,
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -201,7 +201,9 @@
 
 /** An attempt this leader did not place: from a former leader's ledger, or found on a machine. */
 const adopt = (state: CoreState, m: Machine, entry: LedgerEntry, now: Instant): Placement => {
-  const job = state.jobs.get(entry.job) ?? null;
+  // A task that its job does not have is only counted and killed, like one of an unknown job.
+  const named = state.jobs.get(entry.job);
+  const job = named && entry.index < named.spec.tasks ? named : null;
   const p: Placement = {
     entry,
     machine: m,
@@ -229,7 +231,7 @@
   };
   const p = adopt(state, m, entry, now);
   const rivals = (p.job?.held.get(entry.index) ?? []).length > 1;
-  if (p.job && (rivals || entry.index >= p.job.spec.tasks)) p.kill = { graceS: 0, sentAt: null };
+  if (rivals) p.kill = { graceS: 0, sentAt: null };
   m.ledgerDirty = true;
   return p;
 };
@@ -490,7 +492,8 @@
       return addJob(state, command.spec, command.submittedAt);
     case 'progress': {
       const job = state.jobs.get(command.job);
-      if (!job) return;
+      if (!job || !Number.isInteger(command.chunk) || command.chunk < 0) return;
+      if (command.chunk * CHUNK_TASKS >= job.spec.tasks) return;
       const chunk = chunkOf(job, (command.chunk * CHUNK_TASKS) as never);
       chunk.bits.set(command.bits.subarray(0, chunk.bits.length));
       let done = 0;
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -3,6 +3,7 @@
 import pino from 'pino';
 import { afterEach, describe, expect, it, vi } from 'vitest';
 import { MAX_IN_FLIGHT, makeApi, serveApi } from '../src/adapters/api.js';
+import { HttpClient } from '../src/adapters/http-client.js';
 import { encodeFrame, FrameReader, MAX_FRAME, Peer, servePeers } from '../src/adapters/peer-link.js';
 import { Jitter } from '../src/adapters/random.js';
 import { DEFAULT_POLICY, parseSettings } from '../src/adapters/settings.js';
@@ -179,6 +180,21 @@
     for (const [text, expected] of bad) {
       expect((await post(at, '/api/jobs', text))?.status, JSON.stringify(text).slice(0, 200)).toBe(expected);
     }
+    const worker = {
+      Berth: 'n-1',
+      Endpoint: '127.0.0.1:99999',
+      Hull: 'c8',
+      Yard: 'a',
+      Tenure: 1,
+      Tick: 1,
+      Baton: 0,
+    };
+    for (const Berth of ['n 1', 'x/../y', '', 'n'.repeat(500)]) {
+      expect((await post(at, '/checkin', { ...worker, Berth }))?.status).toBe(400);
+    }
+    expect((await post(at, '/checkin', worker))?.status).not.toBe(400);
+    const client = new HttpClient({ host: '127.0.0.1', port: 99_999 }, 1);
+    expect(await client.call('GET', '/', undefined, 1000)).toMatchObject({ kind: 'none', sent: false });
     for (const text of ['{', '{}', '{"Berth":7}', '[1]'])
       expect((await post(at, '/checkin', text))?.status).toBe(400);
     expect((await status(at, 'job-1'))?.status).toBe(404);
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -14,6 +14,7 @@
     ['not json', '{', /not JSON/],
     ['a missing field', settingsText({ api_addr: undefined }), /api_addr/],
     ['a wrong type', settingsText({ node: 7 }), /node/],
+    ['a port that cannot be', settingsText({ back: '127.0.0.1:70000' }), /back.*HOST:PORT/],
     ['a bad address', settingsText({ back: 'nowhere' }), /back.*HOST:PORT/],
   ])('names the fault of %s', (_, text, message) => {
     expect(() => parseSettings(text)).toThrow(SettingsError);
--- a/test/troubles.test.ts
+++ b/test/troubles.test.ts
@@ -214,6 +214,35 @@
   });
 });
 
+describe('odd messages', () => {
+  it('a report of a task that its job does not have is answered with a kill and counts as no task of the job', () => {
+    const s = new Story();
+    s.submit('job-1', { tasks: 2 });
+    const starts = s.starts(s.up('n-1'));
+    const odd = task('job-1', 999_999_999, 3);
+    const orders = s.checkIn('n-1', [...starts.map(running), odd]);
+    expect(orders).toMatchObject([{ op: 'kill', index: 999_999_999 }]);
+    s.checkIn('n-1', starts.map(running));
+    expect(s.state.jobs.get('job-1' as JobId)?.pending).toBe(0);
+    expect(s.starts(s.checkIn('n-1', []) ?? []).every((o) => o.index < 2)).toBe(true);
+  });
+
+  it('a progress record that cannot be the job’s changes nothing', () => {
+    const state = core();
+    step(
+      state,
+      [{ kind: 'job', spec: job('job-1', { tasks: 3 }), submittedAt: 0 as Instant }],
+      0 as Instant,
+      'lead',
+    );
+    for (const chunk of [-1, 1, 7, Number.NaN, 0.5]) {
+      const bits = Uint8Array.of(255);
+      step(state, [{ kind: 'progress', job: 'job-1' as JobId, chunk, bits }], 0 as Instant, 'lead');
+    }
+    expect(state.jobs.get('job-1' as JobId)).toMatchObject({ doneCount: 0, pending: 3 });
+  });
+});
+
 describe('a leader', () => {
   it('rents nothing before it has read the machine list, and no request name twice', () => {
     const state = core();
