--- a/src/core/backfill.ts
+++ b/src/core/backfill.ts
@@ -215,12 +215,13 @@
   rooms: readonly Room[],
   now: Instant,
   shadowAt: number,
+  most = Number.POSITIVE_INFINITY,
 ): PlaceResult => {
   const placed: Placement[] = [];
   const zone = chooseZone(job, rooms);
   const suspect = job.failedOn.size >= SUSPECT_MACHINES;
   let last: Room | null = null;
-  while (job.pending > 0) {
+  while (job.pending > 0 && placed.length < most) {
     if (suspect && job.held.size > 0) return { placed, blockedBy: 'its tasks fail on every machine' };
     if (teamRoom(state, job) < 1) return { placed, blockedBy: TEAM_LIMIT };
     let reserved = false;
@@ -341,6 +342,16 @@
       if (shadowAt > 0) state.shadowAt = shadowAt as Instant;
     }
   }
+  // Shortness ranks large arrays last, and deadlines that have passed count for nothing: under lasting overload such
+  // a job would never begin. One that has waited long gets its first task ahead of the others, around the head.
+  const longAgo = now - state.config.policy.firstTaskS * 1000;
+  for (const { job } of ranked) {
+    if (job.submittedAt > longAgo || job.held.size > 0 || job.doneCount > 0 || job === head?.job) continue;
+    if (open.length === 0) break;
+    const result = placeJob(state, job, open, now, shadowAt, 1);
+    for (const p of result.placed) placed.push(p);
+    if (result.placed.length > 0) open = stillOpen(open, least);
+  }
   /** Needs that found no machine: in this round rooms only shrink, so that equal needs find none either. */
   const hopeless = new Set<string>();
   for (const { job } of ranked) {
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -263,7 +263,9 @@
   for (const option of open) {
     const size = Math.max(option.type.cpus, 0.1);
     let due = Math.min(missing, part);
-    while (due > 0 && underWay < RENT_AT_ONCE) {
+    // A kind that was refused lately is tried with one request, not with several in vain.
+    const atOnce = option.refusals > 0 ? 1 : RENT_AT_ONCE;
+    while (due > 0 && underWay < RENT_AT_ONCE && option.outstanding.size < atOnce) {
       const count = Math.min(RENT_MAX, Math.max(1, Math.ceil(due / size)));
       state.nextRequest += 1;
       const request = `r-${state.config.term}-${state.nextRequest}` as RequestName;
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -417,7 +417,7 @@
       if (p.phase === 'saving' && p.kill.graceS > 0) continue;
       orders.push({ op: 'kill', job, index, attempt, graceS: p.kill.graceS });
       p.kill.sentAt = now;
-    } else if (p.phase === 'offered' && m.ready) {
+    } else if (p.phase === 'offered' && m.ready && !m.deaf && !m.deleting) {
       if (p.sentIn !== null && p.sentIn !== m.session) continue;
       p.sentIn = m.session;
       orders.push({ op: 'start', job, index, attempt });
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -190,6 +190,8 @@
   readonly k: number;
   readonly min: number;
   readonly max: number;
+  /** A job that has waited this long gets its first task ahead of better ranked ones. */
+  readonly firstTaskS: number;
   /** Share of the summed guarantees that is kept rented while work comes in. */
   readonly standingShare: number;
   /** Rented capacity over what the unfinished work needs. */
--- /dev/null
+++ b/test/model/overloaded-day.ts
@@ -0,0 +1,97 @@
+/** A day on which more is asked than can be done: steady arrivals, a fixed fleet, workers that do as they are told. */
+import type { CoreState } from '../../src/core/state.js';
+import { step } from '../../src/core/step.js';
+import type { Instant, JobSpec, Order, Policy, TeamName, Ticket } from '../../src/core/types.js';
+import { core, job, report, task, team, type } from './build.js';
+
+const STEP_MS = 1000;
+const ARRIVALS_MS = 400_000;
+const DAY_MS = 1_200_000;
+const MACHINES = 10;
+
+interface Running {
+  readonly order: Order;
+  readonly endsAt: number;
+}
+
+export interface DayJob {
+  readonly spec: JobSpec;
+  readonly submittedAt: number;
+  begunAt: number | null;
+  doneAt: number | null;
+}
+
+export class OverloadedDay {
+  readonly jobs: DayJob[] = [];
+  private readonly state: CoreState;
+  private readonly byId = new Map<string, DayJob>();
+  private readonly running = Array.from({ length: MACHINES }, () => [] as Running[]);
+
+  constructor(policy: Partial<Policy> = {}) {
+    const teams = [team('blue', 60), team('green', 60)];
+    this.state = core({ teams: new Map(teams.map((t) => [t.name, t])), valueBytes: 16_384 }, policy);
+  }
+
+  private arrive(now: number): void {
+    const n = this.jobs.length;
+    const large = n % 4 === 0;
+    const spec = job(`job-${n}`, {
+      lane: large ? 'large' : 'small',
+      priority: large ? 'best_effort' : 'urgent',
+      team: (n % 2 ? 'green' : 'blue') as TeamName,
+      tasks: large ? 20 + ((n * 7) % 60) : 16 + ((n * 3) % 12),
+      estimateS: large ? 40 : 20,
+      deadlineS: large ? 150 : 60,
+    });
+    const told: DayJob = { spec, submittedAt: now, begunAt: null, doneAt: null };
+    this.jobs.push(told);
+    this.byId.set(spec.id, told);
+    this.send(now, { kind: 'job', spec, submittedAt: now as Instant });
+  }
+
+  private send(now: number, ...commands: Parameters<typeof step>[1][number][]) {
+    const effects = step(this.state, commands, now as Instant, 'lead');
+    for (const e of [...effects]) {
+      if (e.kind === 'save') effects.push(...this.send(now, { kind: 'saved', batch: e.batch }));
+      if (e.kind === 'final') this.byId.get(e.job)!.doneAt = now;
+    }
+    return effects;
+  }
+
+  play(): void {
+    this.send(0, { kind: 'types', types: [type('c8')] }, { kind: 'loaded' });
+    let seq = 0;
+    for (let now = 4000; now < DAY_MS; now += STEP_MS) {
+      if (now < ARRIVALS_MS && now % 5000 === 0) this.arrive(now);
+      seq += 1;
+      for (const [i, held] of this.running.entries()) {
+        const told = held.map(({ order, endsAt }) => {
+          const over = endsAt <= now;
+          return task(
+            order.job,
+            order.index,
+            order.attempt,
+            over ? 'ended' : 'running',
+            over ? 'done' : null,
+          );
+        });
+        const ticket = (seq * 100 + i) as Ticket;
+        const effects = this.send(now, { kind: 'report', report: report(`n-${i}`, seq, 7, told), ticket });
+        const answer = effects.find((e) => e.kind === 'answer' && e.ticket === ticket);
+        for (const order of (answer?.kind === 'answer' && answer.orders) || []) this.obey(i, order, now);
+      }
+      this.send(now, { kind: 'tick' });
+    }
+  }
+
+  private obey(machine: number, order: Order, now: number): void {
+    const held = this.running[machine]!;
+    if (order.op === 'start') {
+      const told = this.byId.get(order.job)!;
+      told.begunAt ??= now;
+      held.push({ order, endsAt: now + told.spec.estimateS * 1000 });
+    } else {
+      this.running[machine] = held.filter((r) => r.order.attempt !== order.attempt);
+    }
+  }
+}
--- a/test/model/plain-backfill.ts
+++ b/test/model/plain-backfill.ts
@@ -46,6 +46,8 @@
   ageFactor: number;
   shortnessWeight: number;
   levelWeight: number;
+  /** After this long a job's first task goes ahead of better ranked ones. */
+  firstTaskS: number;
   jobs: PlainJob[];
   /** Machine types with GPUs, in the fleet or not. */
   kinds: { type: string; gpus: number }[];
@@ -148,7 +150,8 @@
   let reserved: PlainRun[] = [];
   let ended: PlainRun[] = [];
   const lasting: PlainRun[] = [];
-  const fill = (j: PlainJob) => {
+  const fill = (j: PlainJob, most = Infinity) => {
+    let begun = 0;
     let zone: string | null = null;
     if (j.oneZone && zonesOf(j).length === 0) {
       const slots = new Map<string, number>();
@@ -159,7 +162,7 @@
       }
       for (const [z, n] of slots) if (zone === null || n > slots.get(zone)!) zone = z;
     }
-    while (left(j) > 0 && teamSlots(j) >= 1) {
+    while (left(j) > 0 && teamSlots(j) >= 1 && begun < most) {
       const end = world.now + j.estimateS * 1000;
       const able = strongest.filter((x) => {
         if (!suits(j, x) || (zone !== null && x.zone !== zone) || !fits(j, x, used(x))) return false;
@@ -186,6 +189,7 @@
       if (!m) return;
       const run = { job: j.id, machine: m.id, end };
       runs.push(run);
+      begun += 1;
       starts.push(`${j.id}@${m.id}`);
       if (shadow > 0 && end > shadow) lasting.push(run);
     }
@@ -217,6 +221,10 @@
       }
     }
   }
+  for (const j of waiting) {
+    const waitedLong = world.now - j.submittedAt >= world.firstTaskS * 1000;
+    if (j !== head && waitedLong && left(j) === j.tasks) fill(j, 1);
+  }
   for (const j of waiting) if (j !== head) fill(j);
   return { starts, head: left(head) > 0 ? head.id : null };
 };
