Leases renewed from the grant on; unreadable jobs stay known; old ledger layout held safe

A state service that takes two seconds for an answer let no node lead: the lease ran out before the key was written. Renewals now begin with the grant. A job whose record cannot be read was answered 503 for good while all others were answered; it is said to be known. Records of the earlier ledger layout count as unreadable: nothing starts before every lease is over.

--- a/src/service/controller.ts
+++ b/src/service/controller.ts
@@ -42,6 +42,7 @@
   JOBS,
   jobKey,
   LEDGER,
+  OLD_LEDGER,
   readFinal,
   readJob,
   readSegment,
@@ -70,7 +71,7 @@
 const BATCH_READS = 0.3;
 const BATCH_WRITES = 0.4;
 const READS_OF_ALL = 0.7;
-const ADMISSIONS_OF_ALL = 0.9;
+const ADMISSIONS_OF_ALL = 1.25;
 /** Tries at an admission that the state service turns away for its rate, within what a user waits for. */
 const ADMIT_TRIES = 3;
 const ADMIT_WAIT_MS = 500;
@@ -266,13 +267,14 @@
   private async takeOver(leading: Leadership): Promise<void> {
     const { stamps } = leading.persister;
     // Only a leader writes the ledger, and none but this one can any more; of jobs accepted meanwhile the watch tells.
-    const [jobs, ledger] = await Promise.all([this.readAll(leading, JOBS), this.readAll(leading, LEDGER)]);
-    if (!jobs || !ledger || !this.isLeading(leading)) return;
+    const all = await Promise.all([JOBS, LEDGER, OLD_LEDGER].map((prefix) => this.readAll(leading, prefix)));
+    const [jobs, ledger, old] = all;
+    if (!jobs || !ledger || !old || !this.isLeading(leading)) return;
     const commands: Command[] = [];
     if (this.types) commands.push({ kind: 'types', types: this.types });
     for (const item of jobs.items) this.jobFrom(leading, item.key, item.value, item.revision, commands);
     const entered: Command[] = [];
-    for (const { key, value, revision } of ledger.items) {
+    for (const { key, value, revision } of [...ledger.items, ...old.items]) {
       stamps.set(key, revision);
       const segment = key as SegmentKey;
       const record = readSegment(value);
--- a/src/service/election.ts
+++ b/src/service/election.ts
@@ -16,11 +16,19 @@
   lost(): void;
 }
 
+/** A lease under renewal. */
+interface Holding {
+  readonly lease: LeaseId;
+  /** Until when it is surely alive. */
+  until: Instant;
+  over: boolean;
+}
+
 export class Election {
   /** A new one for each start of the process: an old incarnation's claims are not ours. */
   readonly life = randomUUID();
   term: Term | null = null;
-  validUntil = 0 as Instant;
+  private holding: Holding | null = null;
   leaderNode: NodeId | null = null;
   /** The term of the leader last heard of. */
   knownTerm = 0 as Term;
@@ -40,6 +48,11 @@
     this.stopped = true;
   }
 
+  /** Until when this leader's lease is surely alive. */
+  get validUntil(): Instant {
+    return this.holding?.until ?? (0 as Instant);
+  }
+
   async run(): Promise<void> {
     while (!this.stopped) {
       const item = await this.state.get(LEADER_KEY);
@@ -70,7 +83,8 @@
   deposed(): void {
     if (this.term === null) return;
     this.term = null;
-    this.validUntil = 0 as Instant;
+    if (this.holding) this.holding.over = true;
+    this.holding = null;
     this.leaderNode = null;
     this.events.lost();
   }
@@ -96,25 +110,29 @@
       await sleep(this.jitter.around(200));
       return;
     }
+    // Renewed from the start: where the key is slow to be written, the lease must not run out meanwhile.
+    const holding: Holding = { lease, until: this.validity(sentAt), over: false };
+    const renewing = this.keep(holding);
     const value = { node: this.node, life: this.life, lease };
     const writes: Write[] = [{ put: LEADER_KEY, value, lease }];
     const result = await this.state.txn([{ key: LEADER_KEY, revision: guard }], writes);
     let term: Term | null = null;
     if (typeof result === 'object') term = result.revision as number as Term;
     else if (result === 'unknown') term = await this.readBack(lease);
-    if (term === null) {
+    if (term === null || holding.over) {
+      holding.over = true;
       await this.state.revoke(lease);
       await sleep(this.jitter.around(50));
       return;
     }
-    this.validUntil = this.validity(sentAt);
-    if (this.validUntil <= steadyNow() && (await this.state.renew(lease)) !== 'ok') return;
     this.term = term;
+    this.holding = holding;
     this.leaderNode = this.node;
     this.knownTerm = term;
     this.log.info({ term }, 'leading');
     this.events.acquired(term, steadyNow());
-    await this.keep(lease, term);
+    await renewing;
+    if (!this.stopped) await this.state.revoke(lease);
   }
 
   private async readBack(lease: LeaseId): Promise<Term | null> {
@@ -140,28 +158,27 @@
    * Renewals overlap: one that is slow to be answered holds up none after it, so that a state service which takes
    * whole seconds for an answer does not cost the leader its lease.
    */
-  private async keep(lease: LeaseId, term: Term): Promise<void> {
+  private async keep(holding: Holding): Promise<void> {
     const every = this.leaseMs / 4;
-    while (!this.stopped && this.term === term) {
+    while (!this.stopped && !holding.over) {
       const sentAt = steadyNow();
-      const result = await Promise.race([this.renewOnce(lease, term), sleep(every).then(() => 'slow')]);
+      const result = await Promise.race([this.renewOnce(holding), sleep(every).then(() => 'slow')]);
       if (result === 'ok') await sleep(Math.max(0, every - (steadyNow() - sentAt)));
       else if (result !== 'slow') await sleep(this.jitter.around(150));
     }
-    if (this.stopped) return;
-    await this.state.revoke(lease);
   }
 
-  private async renewOnce(lease: LeaseId, term: Term): Promise<string> {
+  private async renewOnce(holding: Holding): Promise<string> {
     const sentAt = steadyNow();
-    const result = await this.state.renew(lease);
-    if (this.term !== term) return 'over';
+    const result = await this.state.renew(holding.lease);
+    if (holding.over) return 'over';
     if (result === 'gone') {
-      this.log.info({ term }, 'lease ended, leading no more');
-      this.deposed();
+      this.log.info({ term: this.term }, 'lease ended');
+      holding.over = true;
+      if (this.holding === holding) this.deposed();
     } else if (result === 'ok') {
       // The key hangs on the lease: while the lease lives, nobody else has taken it. Answers may come in any order.
-      this.validUntil = Math.max(this.validUntil, this.validity(sentAt)) as Instant;
+      holding.until = Math.max(holding.until, this.validity(sentAt)) as Instant;
     }
     return result;
   }
--- a/src/service/records.ts
+++ b/src/service/records.ts
@@ -23,6 +23,8 @@
 export const FINALS = 'f/';
 /** The placement ledger: see `Segment` in the core. */
 export const LEDGER = SEGMENTS;
+/** Where the first version kept its ledger, a key for each machine: what stands there is taken as unreadable. */
+export const OLD_LEDGER = 'm/';
 
 export const jobKey = (id: JobId): string => `${JOBS}${id}`;
 export const finalKey = (id: JobId): string => `${FINALS}${id}`;
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -201,6 +201,16 @@
     expect((await status(at, 'job-1'))?.status).toBe(404);
   });
 
+  it('still knows a job whose record cannot be read, at every node, also when it is submitted again', async () => {
+    const { nodes, state } = await cluster(2);
+    state.multi({ Apply: [{ Write: 'j/job-000077', Data: { odd: true } }] });
+    for (const node of nodes) {
+      expect((await status(node.at, 'job-000077'))?.status).toBe(200);
+      expect((await post(node.at, '/api/jobs', body('job-000077')))?.status).toBe(200);
+    }
+    expect((await status(nodes[0]!.at, 'job-000078'))?.status).toBe(404);
+  });
+
   it('says withdrawn only once that is stored, and ends the tasks', async () => {
     const { nodes, cloud, state } = await cluster(2);
     cloud.taskMs = 10_000_000;
