--- a/src/adapters/api.ts
+++ b/src/adapters/api.ts
@@ -4,6 +4,7 @@
 import { type Context, Hono } from 'hono';
 import type { JobId, TeamName } from '../core/types.js';
 import type { Controller, Lookup } from '../service/controller.js';
+import { steadyNow } from './clock.js';
 import type { Log } from './log.js';
 import type { Settings } from './settings.js';
 import { jobAnswer, ordersOut, parseJob, parseJobId, parseReport } from './wire.js';
@@ -58,7 +59,9 @@
     }
     const id = parseJobId((json as { Ref?: unknown }).Ref);
     if (!id) return c.json({ error: 'Ref: missing or malformed' }, 400);
+    const from = steadyNow();
     const result = await controller.submit(id, parseJob(json));
+    log.debug({ job: id, result: result.kind, ms: Math.round(steadyNow() - from) }, 'submission');
     if (result.kind === 'accepted') return c.json(jobAnswer(result.view), 201);
     if (result.kind === 'later') return later(c, result.reason);
     if (!('reason' in result)) return c.json(jobAnswer(result.view));
