A node cut off from the state service alone has a peer admit and look up jobs for it

Now one probe finds out when the state service is back, submissions and questions go to a peer that reaches it, and a node that reaches neither is not up.

--- a/src/adapters/state-client.ts
+++ b/src/adapters/state-client.ts
@@ -49,6 +49,7 @@
 /** Longer for what is of use late: a slow answer is better than a second try at a slow service. */
 const WRITE_MS = 4000;
 const LEASE_MS = 2500;
+const PROBE_MS = 300;
 const QUEUE_MS = 1500;
 
 export interface Shares {
@@ -76,8 +77,10 @@
   private readonly leases: HttpClient;
   private readonly requests: RateLimiter;
   private readonly writes: RateLimiter;
-  /** Until when requests of users are refused at once, after the service did not answer. */
-  private downUntil = 0;
+  /** The service did not answer, and has not since: users' requests need not wait to learn it again. */
+  private failing = false;
+  private probe: NodeJS.Timeout | null = null;
+  private closed = false;
 
   constructor(at: Endpoint, shares: Shares) {
     this.http = new HttpClient(at, 24);
@@ -88,8 +91,8 @@
   }
 
   /** True while the service is known not to answer this node. */
-  down(now: number): boolean {
-    return now < this.downUntil;
+  get down(): boolean {
+    return this.failing;
   }
 
   private async call(method: string, target: string, body: unknown, timeoutMs: number): Promise<Reply> {
@@ -105,11 +108,21 @@
   }
 
   private noted(reply: Reply): Reply {
-    if (reply.kind === 'none' || reply.status === 503) this.downUntil = performance.now() + 400;
-    else if (reply.status !== 429) this.downUntil = 0;
+    if (reply.kind === 'none' || reply.status === 503) {
+      this.failing = true;
+      if (!this.closed) this.probe ??= setTimeout(() => this.tryAgain(), PROBE_MS);
+    } else if (reply.status !== 429) this.failing = false;
     return reply;
   }
 
+  /** While the service is away, this alone finds out when it is back. */
+  private tryAgain(): void {
+    this.probe = null;
+    if (!this.failing || this.closed) return;
+    this.requests.force(1);
+    void this.http.call('GET', '/kv/probe', undefined, READ_MS).then((reply) => this.noted(reply));
+  }
+
   async get(key: string): Promise<Item | 'absent' | Failure> {
     const reply = await this.call('GET', `/kv/${key}`, undefined, READ_MS);
     if (reply.kind === 'answer' && reply.status === 404) return 'absent';
@@ -160,6 +173,7 @@
     guards: readonly Guard[],
     writes: readonly Write[],
     maxWaitMs = QUEUE_MS,
+    timeoutMs = WRITE_MS,
   ): Promise<{ revision: Revision } | 'conflict' | 'expired' | Failure> {
     if (!(await this.writes.take(writes.length, maxWaitMs))) return 'refused';
     const transaction = {
@@ -170,7 +184,7 @@
           : { Write: w.put, Data: w.value, ...(w.lease === undefined ? {} : { Hold: w.lease }) },
       ),
     };
-    const reply = await this.call('POST', '/multi', transaction, WRITE_MS);
+    const reply = await this.call('POST', '/multi', transaction, timeoutMs);
     if (reply.kind === 'answer') {
       if (reply.status === 409) return 'conflict';
       if (reply.status === 400) return 'expired';
@@ -227,6 +241,8 @@
   }
 
   close(): void {
+    this.closed = true;
+    if (this.probe) clearTimeout(this.probe);
     this.http.close();
     this.leases.close();
     this.watches.close();
--- a/src/service/controller.ts
+++ b/src/service/controller.ts
@@ -40,6 +40,7 @@
   type FinalRecord,
   finalKey,
   JOBS,
+  type JobRecord,
   jobKey,
   LEDGER,
   OLD_LEDGER,
@@ -75,6 +76,8 @@
 /** Tries at an admission that the state service turns away for its rate, within what a user waits for. */
 const ADMIT_TRIES = 3;
 const ADMIT_WAIT_MS = 500;
+const ADMIT_MS = 1500;
+const ALONE_MS = 1000;
 
 export type Submitted =
   | { readonly kind: 'accepted' | 'known'; readonly view: JobView }
@@ -87,12 +90,15 @@
   leader: v.nullable(v.string()),
   term: v.pipe(v.number(), v.integer()),
   workers: v.pipe(v.number(), v.integer()),
+  state: v.optional(v.boolean(), false),
 });
 
 interface Health {
   readonly leader: NodeId | null;
   readonly term: Term;
   readonly workers: number;
+  /** The state service answers it. */
+  readonly state: boolean;
 }
 
 const readHealth = (answer: unknown): Health | null => {
@@ -115,6 +121,8 @@
   return r.success ? (r.output as JobView) : null;
 };
 
+const admittedSchema = v.object({ kind: v.picklist(['accepted', 'known']), view: viewSchema });
+
 interface Leadership {
   readonly term: Term;
   readonly owner: Owner;
@@ -144,6 +152,10 @@
   private readonly aborts = new Map<Ticket, (outcome: FinalRecord['outcome'] | null | 'late') => void>();
   /** Workers that have turned to this node while it did not lead, and when. */
   private readonly turnedAway = new Map<MachineId, number>();
+  /** Peers that the state service answered when they were last heard of, while it does not answer this node. */
+  private helpers: readonly Peer[] = [];
+  /** Since when neither the state service nor any peer answers. */
+  private aloneSince: Instant | null = null;
   private nextTicket = 1;
   private stopped = false;
 
@@ -390,16 +402,20 @@
       await sleep(this.jitter.around(GOSSIP_MS));
       const leading = this.leading;
       const leads = leading !== null && this.authority() === 'lead';
-      if (!leading && !this.state.down(steadyNow())) continue;
+      if (!this.state.down) this.aloneSince = null;
+      if (!leading && !this.state.down) continue;
       const heard = leads ? this.hearing(leading) : null;
       if (leads && !heard) continue;
-      const answers = await Promise.all(
-        [...this.peers.values()].map((peer) => peer.ask({ ask: 'health' }, PEER_MS)),
-      );
+      const peers = [...this.peers.values()];
+      const answers = await Promise.all(peers.map((peer) => peer.ask({ ask: 'health' }, PEER_MS)));
+      const told = answers.map(readHealth);
+      this.helpers = peers.filter((_, i) => told[i]?.state);
+      const alone = told.length > 0 && told.every((health) => health === null);
+      if (this.state.down && alone) this.aloneSince ??= steadyNow();
+      else this.aloneSince = null;
       if (this.leading !== leading) continue;
       let most = 0;
-      for (const answer of answers) {
-        const health = readHealth(answer);
+      for (const health of told) {
         if (!health) continue;
         most = Math.max(most, health.workers);
         if (!leads && health.leader !== null) this.election.hear(health.leader, health.term);
@@ -434,7 +450,12 @@
     const now = steadyNow();
     const span = this.settings.workers.reportS * 2500;
     for (const [id, at] of this.turnedAway) if (now - at > span) this.turnedAway.delete(id);
-    return { leader: this.election.leaderNode, term: this.election.knownTerm, workers: this.turnedAway.size };
+    return {
+      leader: this.election.leaderNode,
+      term: this.election.knownTerm,
+      workers: this.turnedAway.size,
+      state: !this.state.down,
+    };
   }
 
   // ---- effects -----------------------------------------------------------------------------------
@@ -546,8 +567,10 @@
 
   // ---- users -------------------------------------------------------------------------------------
 
+  /** A node that reaches neither the state service nor a peer can do nothing for users. */
   ready(): boolean {
-    return this.types !== null;
+    const alone = this.aloneSince !== null && steadyNow() - this.aloneSince > ALONE_MS;
+    return this.types !== null && !alone;
   }
 
   private fault(spec: JobSpec): { kind: 'impossible'; reason: string } | null {
@@ -574,37 +597,56 @@
     if (!this.types) return { kind: 'later', reason: 'machine types not known yet' };
     const fault = this.fault(parsed);
     if (fault) return this.refuse(id, fault);
-    if (this.state.down(steadyNow())) return { kind: 'later', reason: 'state service away' };
-    const value = { at: Date.now(), spec: parsed };
-    if (Buffer.byteLength(JSON.stringify(value)) > this.settings.stateLimits.valueBytes) {
+    const record: JobRecord = { at: Date.now(), spec: parsed };
+    if (Buffer.byteLength(JSON.stringify(record)) > this.settings.stateLimits.valueBytes) {
       return { kind: 'malformed', reason: 'description too large' };
     }
+    return this.state.down ? this.admitElsewhere(record) : this.admit(record);
+  }
+
+  private async admit(record: JobRecord): Promise<Submitted> {
+    const { id, team } = record.spec;
     const key = jobKey(id);
     const none = 0 as Revision;
     const guards: Guard[] = [
       { key, revision: none },
       { key: finalKey(id), revision: none },
     ];
-    const writes: Write[] = [{ put: key, value }];
-    let result = await this.state.txn(guards, writes, ADMIT_WAIT_MS);
-    for (let i = 1; i < ADMIT_TRIES && result === 'refused' && !this.state.down(steadyNow()); i += 1) {
+    const writes: Write[] = [{ put: key, value: record }];
+    const write = () => this.state.txn(guards, writes, ADMIT_WAIT_MS, ADMIT_MS);
+    let result = await write();
+    for (let i = 1; i < ADMIT_TRIES && result === 'refused' && !this.state.down; i += 1) {
       await sleep(this.jitter.around(150));
-      result = await this.state.txn(guards, writes, ADMIT_WAIT_MS);
+      result = await write();
     }
-    let revision: Revision | null = typeof result === 'object' ? result.revision : null;
-    if (result === 'conflict' || result === 'unknown') {
+    if (typeof result === 'object') {
+      const leading = this.leading;
+      if (leading) {
+        leading.persister.stamps.set(key, result.revision);
+        leading.owner.submit({ kind: 'job', spec: record.spec, submittedAt: fromTimeOfDay(record.at) });
+      }
+      return { kind: 'accepted', view: { id, team, status: 'queued', done: 0, running: 0 } };
+    }
+    if (result === 'conflict' || (result === 'unknown' && !this.state.down)) {
       const view = await this.storedView(id);
       if (typeof view === 'object') return { kind: 'known', view };
-      if (view === 'later' || result === 'unknown') return { kind: 'later', reason: 'state service away' };
-      revision = null;
     }
-    if (revision === null) return { kind: 'later', reason: 'state service away' };
-    const leading = this.leading;
-    if (leading) {
-      leading.persister.stamps.set(key, revision);
-      leading.owner.submit({ kind: 'job', spec: parsed, submittedAt: steadyNow() });
-    }
-    return { kind: 'accepted', view: { id, team: parsed.team, status: 'queued', done: 0, running: 0 } };
+    return { kind: 'later', reason: 'state service away' };
+  }
+
+  /** Cut off from the state service alone, a node has a peer write the job; it says 201 only on that peer's word. */
+  private async admitElsewhere(record: JobRecord): Promise<Submitted> {
+    const helper = this.helper();
+    const answer = await helper?.ask({ ask: 'admit', record }, ADMIT_MS);
+    const r = v.safeParse(admittedSchema, answer);
+    if (r.success && r.output.view.id === record.spec.id) return r.output as Submitted;
+    return { kind: 'later', reason: 'state service away' };
+  }
+
+  /** The leader if it can help, since it knows best; else any peer that can. */
+  private helper(): Peer | null {
+    const leader = this.helpers.find((peer) => peer.node === this.election.leaderNode);
+    return leader ?? this.helpers[0] ?? null;
   }
 
   /** A bad repeat of an accepted job is still answered with the job. */
@@ -660,7 +702,11 @@
         return answer;
       }
     }
-    return this.storedView(id);
+    if (!this.state.down) return this.storedView(id);
+    const elsewhere = await this.helper()?.ask({ ask: 'look', job: id }, PEER_MS);
+    if (elsewhere === 'absent') return 'absent';
+    const view = readView(elsewhere);
+    return view?.id === id ? view : 'later';
   }
 
   private leaderPeer(): Peer | null {
@@ -732,6 +778,12 @@
         return question.team ? this.listHere(question.team as TeamName) : null;
       case 'health':
         return this.health();
+      case 'look':
+        return job ? (this.localView(job) ?? this.storedView(job)) : null;
+      case 'admit': {
+        const record = readJob(question.record);
+        return record && !this.state.down ? this.admit(record) : null;
+      }
     }
   }
 
@@ -758,7 +810,7 @@
     if (here) return here;
     const answer = await this.leaderPeer()?.ask({ ask: 'explain', job: id }, PEER_MS);
     if (answer) return answer;
-    if (!this.state.down(steadyNow())) return null;
+    if (!this.state.down) return null;
     return { id, waiting: 'the state service is away: nothing starts until it is back', state: 'away' };
   }
 
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -290,6 +290,30 @@
     expect(cloud.starts).toHaveLength(3);
   });
 
+  it('from the state service alone has a peer admit and look up jobs, and says no more than that peer', async () => {
+    const { nodes, fronts, state } = await cluster(3);
+    const cut = nodes.find((n) => n !== leaderOf(nodes))!;
+    fronts[nodes.indexOf(cut)]!.refuse = true;
+    await until(async () => (await post(cut.at, '/api/jobs', body('job-34')))?.status === 201);
+    expect(state.keys.has('j/job-34') || state.keys.has('f/job-34')).toBe(true);
+    expect((await post(cut.at, '/api/jobs', body('job-34')))?.status).toBe(200);
+    expect((await status(cut.at, 'job-34'))?.status).toBe(200);
+    expect((await status(cut.at, 'job-35'))?.status).toBe(404);
+    expect((await post(cut.at, '/up', undefined, 'GET'))?.status).toBe(200);
+  });
+
+  it('from the state service and all peers leaves its users to others until either is back', async () => {
+    const { nodes, fronts } = await cluster(2);
+    nodes[1]!.stop();
+    fronts[0]!.refuse = true;
+    const up = async () => (await post(nodes[0]!.at, '/up', undefined, 'GET'))?.status;
+    await until(async () => (await up()) === 503);
+    expect((await post(nodes[0]!.at, '/api/jobs', body('job-36')))?.status).toBe(503);
+    fronts[0]!.refuse = false;
+    await until(async () => (await up()) === 200);
+    await until(async () => (await post(nodes[0]!.at, '/api/jobs', body('job-36')))?.status === 201);
+  });
+
   it('from the workers alone steps aside for a peer that hears them', async () => {
     const { nodes, cloud } = await cluster(2);
     const old = leaderOf(nodes)!;
