--- a/src/service/persister.ts
+++ b/src/service/persister.ts
@@ -60,7 +60,11 @@
       } else if (result === 'expired') {
         this.log.info({ keys }, 'the state service finds the batch malformed');
       }
-      await sleep(this.jitter.around(Math.min(1000, 60 * 2 ** Math.min(tries, 4))));
+      await sleep(
+        this.jitter.around(
+          result === 'refused' && !this.state.down ? 120 : Math.min(1000, 60 * 2 ** Math.min(tries, 4)),
+        ),
+      );
     }
     return false;
   }
