--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -302,21 +302,26 @@
   }
   // Jobs that only a few kinds of machine suit: see that at least their own share of those is there.
   let checked = 0;
+  const suited = new Set<string>();
   for (const job of jobs) {
     if (effects.length >= RENT_AT_ONCE || checked >= 50) break;
     checked += 1;
     const limit = Math.min(job.pending, teamRoom(state, job));
     if (limit <= 0 || now < job.retryAt) continue;
-    let slots = 0;
-    for (const m of state.machines.values()) {
+    if (suited.has(job.needs)) continue;
+    let there = options.some((o) => o.outstanding.size > 0 && optionSuits(job, o));
+    for (const m of there ? [] : state.machines.values()) {
       const type = state.types.get(m.type);
       if (!type || !counted(m) || !mayUseMachine(job, m)) continue;
       if (job.spec.cpus > type.cpus || job.spec.gpus > type.gpus || job.spec.memoryGb > type.memoryGb)
         continue;
-      slots += 1;
+      there = true;
+      break;
+    }
+    if (there) {
+      suited.add(job.needs);
+      continue;
     }
-    for (const o of options) if (o.outstanding.size > 0 && optionSuits(job, o)) slots += asked(o);
-    if (slots > 0) continue;
     const suits = options.filter((o) => optionSuits(job, o));
     rentFrom(state, suits, limit * Math.max(job.spec.cpus, 0.1), now, effects);
   }
