An urgent head stops lower tasks that save; pauses count the share of a core; idle check-ins held longer

An idle machine with a period of 5 s went unheard for 3.2 s of it: its check-in is held for 0.6 of a period. Admissions beyond a node's own share of the write limit are asked of a peer.

--- a/src/core/backfill.ts
+++ b/src/core/backfill.ts
@@ -15,7 +15,14 @@
   takePending,
   usable,
 } from './state.js';
-import type { Attempt, Instant, LedgerEntry, MachineType, TypeName } from './types.js';
+import {
+  type Attempt,
+  type Instant,
+  type LedgerEntry,
+  type MachineType,
+  PRIORITY_LEVEL,
+  type TypeName,
+} from './types.js';
 
 /** A job whose tasks fail on this many machines in a row is tried one task at a time, with pauses. */
 export const SUSPECT_MACHINES = 3;
@@ -35,6 +42,8 @@
 }
 
 const EPSILON = 1e-6;
+/** Shorter runs are not cut: a start that is stopped so soon is of no use. */
+const LEAST_RUN_MS = 31_000;
 const TEAM_LIMIT = 'team limit';
 const NO_MACHINE = 'no machine with room';
 
@@ -75,11 +84,7 @@
   return true;
 };
 
-const fitsNow = (job: Job, room: Room): boolean =>
-  room.slots > 0 &&
-  room.cpus + EPSILON >= job.spec.cpus &&
-  room.gpus + EPSILON >= job.spec.gpus &&
-  room.memoryGb + EPSILON >= job.spec.memoryGb;
+const fitsNow = (job: Job, room: Room): boolean => room.slots > 0 && fitsIn(job, room);
 
 const fitsShadow = (job: Job, room: Room): boolean =>
   room.shadowCpus + EPSILON >= job.spec.cpus &&
@@ -111,6 +116,8 @@
 /** When a running attempt should end by its estimate; an overrun counts as ending soon. */
 export const estimatedEnd = (p: Placement, now: Instant): number => {
   const estimate = (p.job?.spec.estimateS ?? 0) * 1000;
+  // A task that is being stopped ends once it has saved.
+  if (p.kill) return now + Math.min(p.kill.graceS, p.job?.spec.saveS ?? 0) * 1000 + 500;
   const end = (p.startedAt ?? p.placedAt) + estimate;
   return Math.max(end, now + Math.max(1000, estimate / 4));
 };
@@ -171,6 +178,29 @@
       r.memoryGb + EPSILON >= least.memoryGb,
   );
 
+interface Space {
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+}
+
+/** What is free in a room, and what these give back. */
+const roomWith = (room: Room, leaving: readonly Placement[]): Space => {
+  const { cpus, gpus, memoryGb } = room;
+  const space = { cpus, gpus, memoryGb };
+  for (const { entry } of leaving) {
+    space.cpus += entry.cpus;
+    space.gpus += entry.gpus;
+    space.memoryGb += entry.memoryGb;
+  }
+  return space;
+};
+
+const fitsIn = (job: Job, space: Space): boolean =>
+  space.cpus + EPSILON >= job.spec.cpus &&
+  space.gpus + EPSILON >= job.spec.gpus &&
+  space.memoryGb + EPSILON >= job.spec.memoryGb;
+
 const place = (state: CoreState, job: Job, room: Room, now: Instant): Placement | null => {
   const index = takePending(job);
   if (index === null) return null;
@@ -282,6 +312,72 @@
   return shadow;
 };
 
+/** Tasks that may be stopped for a head of this level: of lower priority, and no more is lost than the saving takes. */
+const mayStop = (p: Placement, level: number, now: Instant): boolean =>
+  p.job !== null &&
+  p.kill === null &&
+  p.phase === 'running' &&
+  p.startedAt !== null &&
+  now - p.startedAt >= LEAST_RUN_MS &&
+  PRIORITY_LEVEL[p.job.spec.priority] < level &&
+  p.job.spec.checkpointS > 0;
+
+/**
+ * The one exception to running tasks to their end: small tasks take up every processor that comes free, so that on a
+ * full fleet an urgent head with larger ones waits for long. It stops tasks of lower priority that save their
+ * progress, as many as it takes, and its reservation keeps the room for it.
+ */
+const makeRoom = (job: Job, missing: number, rooms: readonly Room[], now: Instant): void => {
+  const level = PRIORITY_LEVEL[job.spec.priority];
+  const { cpus, gpus, memoryGb } = job.spec;
+  let left = missing;
+  const open: { room: Room; victims: Placement[] }[] = [];
+  for (const room of rooms) {
+    if (!mayUseMachine(job, room.machine) || !zoneAllows(job, room.machine)) continue;
+    const victims: Placement[] = [];
+    let stopping = false;
+    for (const p of room.machine.placements.values()) {
+      if (p.kill && occupies(p.phase)) stopping = true;
+      else if (mayStop(p, level, now)) victims.push(p);
+    }
+    // Room that is already being made counts first.
+    if (stopping) {
+      const soon = roomWith(
+        room,
+        [...room.machine.placements.values()].filter((p) => p.kill && occupies(p.phase)),
+      );
+      while (left > 0 && fitsIn(job, soon)) {
+        soon.cpus -= cpus;
+        soon.gpus -= gpus;
+        soon.memoryGb -= memoryGb;
+        left -= 1;
+      }
+    } else if (victims.length > 0) open.push({ room, victims });
+  }
+  for (const { room, victims } of open) {
+    if (left <= 0) return;
+    const soon = roomWith(room, []);
+    let stopped: Placement[] = [];
+    for (const p of victims) {
+      if (left <= 0) break;
+      soon.cpus += p.entry.cpus;
+      soon.gpus += p.entry.gpus;
+      soon.memoryGb += p.entry.memoryGb;
+      stopped.push(p);
+      if (!fitsIn(job, soon)) continue;
+      // Only once a task of the head fits is anything stopped for it.
+      for (const victim of stopped) victim.kill = { graceS: (victim.job?.spec.saveS ?? 0) + 5, sentAt: null };
+      stopped = [];
+      while (left > 0 && fitsIn(job, soon)) {
+        soon.cpus -= cpus;
+        soon.gpus -= gpus;
+        soon.memoryGb -= memoryGb;
+        left -= 1;
+      }
+    }
+  }
+};
+
 export interface Round {
   readonly placed: Placement[];
   readonly ranked: Ranked<Job>[];
@@ -333,6 +429,10 @@
     head.job.blockedBy = result.blockedBy;
     const missing = Math.min(head.job.pending, teamRoom(state, head.job));
     if (missing > 0) {
+      const { makeRoomLevel, makeRoomS } = state.config.policy;
+      const waited = now - head.job.submittedAt >= makeRoomS * 1000;
+      if (waited && PRIORITY_LEVEL[head.job.spec.priority] >= makeRoomLevel)
+        makeRoom(head.job, missing, rooms, now);
       for (const room of rooms) {
         room.shadowCpus = room.cpus;
         room.shadowGpus = room.gpus;
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -57,7 +57,8 @@
  * An idle worker's check-in is answered when there is something to start, or after this long: a start that
  * misses it would wait for the next report. Busy workers are answered at once, since theirs bring results.
  */
-const IDLE_HOLD_MS = 1800;
+const IDLE_HOLD_SHARE = 0.6;
+const IDLE_HOLD_MAX_MS = 2900;
 const MAX_ORDERS = 300;
 const TICK_MS = 500;
 /** Progress that only guards against a crash may wait this long for company. */
@@ -442,6 +443,7 @@
 };
 
 const answerTickets = (state: CoreState, now: Instant, authority: Authority, effects: Effect[]): void => {
+  const idleHoldMs = Math.min(IDLE_HOLD_MAX_MS, state.config.reportMs * IDLE_HOLD_SHARE);
   for (const m of state.waiting) {
     if (!m.ticket) {
       state.waiting.delete(m);
@@ -453,7 +455,7 @@
       for (const p of m.placements.values()) waits ||= p.phase === 'entering';
       if (waits) continue;
     }
-    if (authority === 'lead' && m.placements.size === 0 && usable(m, now) && now - since < IDLE_HOLD_MS)
+    if (authority === 'lead' && m.placements.size === 0 && usable(m, now) && now - since < idleHoldMs)
       continue;
     m.ticket = null;
     state.waiting.delete(m);
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -192,6 +192,9 @@
   readonly max: number;
   /** A job that has waited this long gets its first task ahead of better ranked ones. */
   readonly firstTaskS: number;
+  /** A head of at least this priority level that has waited this long stops lower tasks that save their progress. */
+  readonly makeRoomLevel: number;
+  readonly makeRoomS: number;
   /** Share of the summed guarantees that is kept rented while work comes in. */
   readonly standingShare: number;
   /** Rented capacity over what the unfinished work needs. */
--- a/src/service/controller.ts
+++ b/src/service/controller.ts
@@ -56,7 +56,8 @@
 /** Attempts on one machine: its report must fit a request of 64 KiB. */
 const MAX_PER_MACHINE = 400;
 const TICK_MS = 250;
-const TICKET_MS = 3000;
+/** A worker gives an answer up after 4 s. */
+const TICKET_MS = 3700;
 const PEER_MS = 700;
 const ABORT_MS = 3000;
 const LIST_EVERY_MS = 4000;
@@ -157,6 +158,7 @@
   /** Since when neither the state service nor any peer answers. */
   private aloneSince: Instant | null = null;
   private nextTicket = 1;
+  private turn = 0;
   private stopped = false;
 
   constructor(
@@ -244,6 +246,8 @@
       core,
       () => this.authority(),
       (effect) => this.carryOut(effect),
+      steadyNow,
+      this.settings.quota.cores,
     );
     const persister = new Persister(this.batchState, term, this.log, this.jitter);
     const leading: Leadership = { term, owner, persister };
@@ -601,10 +605,10 @@
     if (Buffer.byteLength(JSON.stringify(record)) > this.settings.stateLimits.valueBytes) {
       return { kind: 'malformed', reason: 'description too large' };
     }
-    return this.state.down ? this.admitElsewhere(record) : this.admit(record);
+    return this.state.down ? this.admitElsewhere(record, this.helper()) : this.admit(record, true);
   }
 
-  private async admit(record: JobRecord): Promise<Submitted> {
+  private async admit(record: JobRecord, mayAsk: boolean): Promise<Submitted> {
     const { id, team } = record.spec;
     const key = jobKey(id);
     const none = 0 as Revision;
@@ -616,7 +620,13 @@
     const write = () => this.state.txn(guards, writes, ADMIT_WAIT_MS, ADMIT_MS);
     let result = await write();
     for (let i = 1; i < ADMIT_TRIES && result === 'refused' && !this.state.down; i += 1) {
-      await sleep(this.jitter.around(150));
+      // The load balancer does not spread users evenly: a peer may have some of its share of the rate left.
+      if (mayAsk && i === 1) {
+        const peers = [...this.peers.values()];
+        const peer = peers[this.turn++ % Math.max(1, peers.length)] ?? null;
+        const elsewhere = await this.admitElsewhere(record, peer);
+        if (elsewhere.kind !== 'later') return elsewhere;
+      } else await sleep(this.jitter.around(150));
       result = await write();
     }
     if (typeof result === 'object') {
@@ -635,8 +645,7 @@
   }
 
   /** Cut off from the state service alone, a node has a peer write the job; it says 201 only on that peer's word. */
-  private async admitElsewhere(record: JobRecord): Promise<Submitted> {
-    const helper = this.helper();
+  private async admitElsewhere(record: JobRecord, helper: Peer | null): Promise<Submitted> {
     const answer = await helper?.ask({ ask: 'admit', record }, ADMIT_MS);
     const r = v.safeParse(admittedSchema, answer);
     if (r.success && r.output.view.id === record.spec.id) return r.output as Submitted;
@@ -782,7 +791,7 @@
         return job ? (this.localView(job) ?? this.storedView(job)) : null;
       case 'admit': {
         const record = readJob(question.record);
-        return record && !this.state.down ? this.admit(record) : null;
+        return record && !this.state.down ? this.admit(record, false) : null;
       }
     }
   }
--- a/src/service/owner.ts
+++ b/src/service/owner.ts
@@ -1,6 +1,8 @@
 /**
  * The single owner of the leader's state: commands queue up and are worked off in batches. The pause between
- * batches grows with what the last one cost, so that under load each takes in more.
+ * batches grows with what the last one cost, so that under load each takes in more. On a fraction of a core what is
+ * used beyond the share is paid for later by standing still: the pause counts that in, so that decisions take about a
+ * third of the share and answers have the rest.
  */
 import { steadyNow } from '../adapters/clock.js';
 import type { CoreState } from '../core/state.js';
@@ -8,13 +10,15 @@
 import type { Command, Effect, Instant } from '../core/types.js';
 
 const MAX_PAUSE_MS = 250;
-const PAUSE_FACTOR = 2.5;
+const DECISIONS_SHARE = 0.35;
+const LEAST_PAUSE_FACTOR = 2.5;
 
 export class Owner {
   private queue: Command[] = [];
   private timer: NodeJS.Timeout | null = null;
   private nextAt = 0;
   private stopped = false;
+  private readonly pauseFactor: number;
   /** Commands wait here while a new leader still reads what the state service holds. */
   private open = false;
 
@@ -23,7 +27,10 @@
     private readonly authority: () => Authority,
     private readonly carryOut: (effect: Effect) => void,
     private readonly clock: () => Instant = steadyNow,
-  ) {}
+    cores = 1,
+  ) {
+    this.pauseFactor = Math.max(LEAST_PAUSE_FACTOR, 1 / (cores * DECISIONS_SHARE));
+  }
 
   submit(command: Command): void {
     if (this.stopped) return;
@@ -57,7 +64,7 @@
     const effects = step(this.core, commands, before, this.authority());
     for (const effect of effects) this.carryOut(effect);
     const after = this.clock();
-    this.nextAt = after + Math.min(MAX_PAUSE_MS, (after - before) * PAUSE_FACTOR);
+    this.nextAt = after + Math.min(MAX_PAUSE_MS, (after - before) * this.pauseFactor);
     if (this.queue.length > 0) this.wake();
   }
 }
--- a/test/backfill.test.ts
+++ b/test/backfill.test.ts
@@ -3,7 +3,7 @@
 import { DEFAULT_POLICY } from '../src/adapters/settings.js';
 import { runRound } from '../src/core/backfill.js';
 import { deadlineScore } from '../src/core/rank.js';
-import { hold, newJob, newMachine, type Placement, takePending } from '../src/core/state.js';
+import { hold, newJob, newMachine, type Placement, release, takePending } from '../src/core/state.js';
 import {
   type Attempt,
   type Instant,
@@ -162,6 +162,48 @@
     expect(placed.filter((id) => id === 'job-4')).toHaveLength(1);
   });
 
+  it('stops lower tasks that save, no more than an urgent head needs, and keeps their room for it', () => {
+    const at = { endpoint: '', type: 'c8' as TypeName, zone: 'a' as ZoneName, spot: false };
+    const play = (victim: object, urgent: object, startedAt = 0, policy = {}) => {
+      const state = core({}, policy);
+      state.types.set('c8' as TypeName, type('c8'));
+      const m = newMachine('n-1' as MachineId, at, 0 as Instant, 0 as Instant);
+      m.ready = true;
+      state.machines.set(m.id, m);
+      const sweep = job('job-1', { priority: 'best_effort', tasks: 4, cpus: 2, estimateS: 500, ...victim });
+      state.jobs.set(sweep.id, newJob(sweep, 0 as Instant));
+      for (const p of runRound(state, 0 as Instant).placed) {
+        p.phase = 'running';
+        p.startedAt = startedAt as Instant;
+      }
+      const head = job('job-2', { priority: 'urgent', cpus: 3, ...urgent });
+      state.jobs.set(head.id, newJob(head, 50_000 as Instant));
+      // Small enough for every hole, it must not take the room that is made for the head.
+      const small = job('job-3', { priority: 'standard', tasks: 20, estimateS: 100 });
+      state.jobs.set(small.id, newJob(small, 50_000 as Instant));
+      const round = runRound(state, 60_000 as Instant);
+      expect(round.placed).toEqual([]);
+      const stopped = () => [...m.placements.values()].filter((p) => p.kill);
+      const first = stopped().length;
+      runRound(state, 60_100 as Instant);
+      expect(stopped().length).toBe(first);
+      return { state, stopped: stopped() };
+    };
+    const saving = { checkpointS: 10, saveS: 3 };
+    const { state, stopped } = play(saving, {});
+    expect(stopped).toHaveLength(2);
+    expect(stopped[0]?.kill?.graceS).toBeGreaterThan(3);
+    for (const p of stopped) release(state, p, 64_000 as Instant);
+    const placed = runRound(state, 64_000 as Instant).placed.map((p) => p.entry.job as string);
+    expect(placed.filter((id) => id === 'job-2')).toHaveLength(1);
+    // Not: tasks that lose their work, of equal priority, hardly begun; nor for a head of lower priority, or if told not to.
+    expect(play({ checkpointS: 0 }, {}).stopped).toEqual([]);
+    expect(play({ ...saving, priority: 'urgent' }, {}).stopped).toEqual([]);
+    expect(play(saving, {}, 40_000).stopped).toEqual([]);
+    expect(play(saving, { priority: 'standard', estimateS: 1 }).stopped).toEqual([]);
+    expect(play(saving, {}, 0, { makeRoomLevel: 4 }).stopped).toEqual([]);
+  });
+
   it('never lets a job that fails everywhere reserve', () => {
     const state = core();
     const spec = job('job-1', { cpus: 4 });
