--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -101,7 +101,10 @@
     m.listed = true;
     if (!m.endpoint) m.endpoint = item.endpoint;
     if (item.status === 'failed') m.draining = true;
-    if (item.status === 'failed' && m.lostAt === null) m.lostAt = now;
+    if (item.status === 'failed' && m.lostAt === null) {
+      m.lostAt = now;
+      m.lostWhy = 'failed';
+    }
   }
   // A list may be older than the one before it: absence counts only for machines known for long enough.
   const grace = 3 * state.config.listLagMs + 2000;
@@ -109,6 +112,7 @@
     if (names.has(m.id) || askedAt - m.rentedAt < grace) continue;
     if (m.everSeen ? now - m.lastSeen > 2 * state.config.reportMs : true) {
       m.lostAt ??= now;
+      m.lostWhy ||= 'not listed';
       m.draining = true;
     }
   }
@@ -168,7 +172,10 @@
   for (const m of state.machines.values()) {
     const quiet = now - m.lastSeen;
     const waits = m.everSeen || m.placements.size > 0;
-    if (waits && quiet > (many ? 2 * leaseMs : limit)) m.lostAt ??= now;
+    if (waits && m.lostAt === null && quiet > (many ? 2 * leaseMs : limit)) {
+      m.lostAt = now;
+      m.lostWhy = 'silent';
+    }
     if (m.lostAt !== null && m.placements.size > 0 && now > leaseSurelyOver(state, m)) {
       for (const p of [...m.placements.values()]) {
         release(state, p, now);
@@ -181,6 +188,7 @@
 
 const deletions = (state: CoreState, now: Instant): Effect[] => {
   const ids: MachineId[] = [];
+  const why: Record<string, number> = {};
   const { policy } = state.config;
   for (const m of state.machines.values()) {
     if (m.deleting || now < m.deleteAfter || ids.length >= DELETE_MAX) continue;
@@ -192,9 +200,21 @@
     if (m.lostAt !== null || m.deaf || neverUp || (m.draining && empty)) {
       m.deleting = true;
       ids.push(m.id);
+      const reason = m.deaf
+        ? 'deaf'
+        : m.lostAt !== null
+          ? m.lostWhy
+          : neverUp
+            ? 'never up'
+            : 'no longer needed';
+      why[reason] = (why[reason] ?? 0) + 1;
     }
   }
-  return ids.length > 0 ? [{ kind: 'delete', machines: ids }] : [];
+  if (ids.length === 0) return [];
+  return [
+    { kind: 'note', level: 'info', text: 'giving machines up', fields: why },
+    { kind: 'delete', machines: ids },
+  ];
 };
 
 /** Machines of a kind that are being asked for. */
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -134,6 +134,7 @@
   listed: boolean;
   lastSeen: Instant;
   lostAt: Instant | null;
+  lostWhy: string;
   noticeUntil: Instant | null;
   draining: boolean;
   deleting: boolean;
@@ -427,6 +428,7 @@
   listed: false,
   lastSeen: now,
   lostAt: null,
+  lostWhy: '',
   noticeUntil: null,
   draining: false,
   deleting: false,
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -360,6 +360,7 @@
   if (ticket !== null) m.lastSeen = now;
   if (m.lostAt !== null && !m.deleting && !(m.draining && m.placements.size === 0)) {
     m.lostAt = null;
+    m.lostWhy = '';
   }
   m.noticeUntil = report.noticeS === null ? null : later(now, seconds(report.noticeS));
   // Only a report that carries our term, on a session we answered, proves what is not on the machine:
