--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -201,6 +201,27 @@
     expect((await status(at, 'job-1'))?.status).toBe(404);
   });
 
+  it('answers for every single job at every node while the state service is at its limit, and after a takeover', async () => {
+    const { nodes, state, cloud } = await cluster(3);
+    cloud.taskMs = 10_000_000;
+    const ids = Array.from({ length: 12 }, (_, i) => `job-0001${String(i).padStart(2, '0')}`);
+    for (const [i, id] of ids.entries()) await post(nodes[i % 3]!.at, '/api/jobs', body(id, { Pieces: 1 }));
+    const leader = nodes.find((n) => n.controller.authority() === 'lead')!;
+    for (const id of ids) await until(async () => (await status(leader.at, id))?.body.running === 1);
+    state.limited = true;
+    for (const node of nodes) {
+      for (const id of ids) expect((await status(node.at, id))?.body.Status, id).toBe('running');
+    }
+    state.limited = false;
+    leader.stop();
+    const others = nodes.filter((n) => n !== leader);
+    await until(() => others.some((n) => n.controller.authority() === 'lead'));
+    for (const node of others) {
+      for (const id of ids) await until(async () => (await status(node.at, id))?.body.running === 1);
+    }
+    expect(cloud.starts).toHaveLength(12);
+  });
+
   it('still knows a job whose record cannot be read, at every node, also when it is submitted again', async () => {
     const { nodes, state } = await cluster(2);
     state.multi({ Apply: [{ Write: 'j/job-000077', Data: { odd: true } }] });
--- a/test/stand-ins/state-service.ts
+++ b/test/stand-ins/state-service.ts
@@ -42,6 +42,8 @@
   private waiting: (() => void)[] = [];
   /** Answers 503 to everything, as in an outage. */
   down = false;
+  /** Answers 429 to reads and transactions, as at its request limit; leases are renewed. */
+  limited = false;
   /** Carries the next transactions out but never answers them. */
   swallow = 0;
   /** Drops the next transactions without carrying them out. */
@@ -137,6 +139,9 @@
     const url = new URL(req.url ?? '/', 'http://x');
     const body = await readJson(req);
     if (this.down) return sendJson(res, 503, { error: 'trouble' });
+    if (this.limited && (url.pathname.startsWith('/kv') || url.pathname === '/multi')) {
+      return sendJson(res, 429, { error: 'too many' });
+    }
     const parts = url.pathname.split('/');
     if (url.pathname === '/multi') {
       this.transactions += 1;
