--- a/src/core/backfill.ts
+++ b/src/core/backfill.ts
@@ -423,6 +423,22 @@
   const least = leastOf(ranked);
   let open = stillOpen(rooms, least);
   let shadowAt = 0;
+  const { firstTaskS } = state.config.policy;
+  /** The first task of each job but the head that has waited this long and of which nothing has begun. */
+  const firstTasks = (waitedS: number) => {
+    for (const { job } of ranked) {
+      if (now - job.submittedAt < waitedS * 1000 || job === head?.job) continue;
+      if (job.held.size > 0 || job.doneCount > 0) continue;
+      if (open.length === 0) return;
+      const result = placeJob(state, job, open, now, shadowAt, 1);
+      for (const p of result.placed) placed.push(p);
+      if (result.placed.length > 0) open = stillOpen(open, least);
+    }
+  };
+  // Shortness ranks large arrays last, and deadlines that have passed count for nothing: under lasting overload such a
+  // job would never begin. One that has waited long gets its first task ahead of the others, around the head; where heads
+  // take up all that comes free, one that has waited half as long again gets it even so.
+  firstTasks(firstTaskS * 1.5);
   if (head) {
     const result = placeJob(state, head.job, open, now, 0);
     for (const p of result.placed) placed.push(p);
@@ -442,16 +458,7 @@
       if (shadowAt > 0) state.shadowAt = shadowAt as Instant;
     }
   }
-  // Shortness ranks large arrays last, and deadlines that have passed count for nothing: under lasting overload such
-  // a job would never begin. One that has waited long gets its first task ahead of the others, around the head.
-  const longAgo = now - state.config.policy.firstTaskS * 1000;
-  for (const { job } of ranked) {
-    if (job.submittedAt > longAgo || job.held.size > 0 || job.doneCount > 0 || job === head?.job) continue;
-    if (open.length === 0) break;
-    const result = placeJob(state, job, open, now, shadowAt, 1);
-    for (const p of result.placed) placed.push(p);
-    if (result.placed.length > 0) open = stillOpen(open, least);
-  }
+  firstTasks(firstTaskS);
   /** Needs that found no machine: in this round rooms only shrink, so that equal needs find none either. */
   const hopeless = new Set<string>();
   for (const { job } of ranked) {
--- a/test/model/overloaded-day.ts
+++ b/test/model/overloaded-day.ts
@@ -27,8 +27,8 @@
   private readonly byId = new Map<string, DayJob>();
   private readonly running = Array.from({ length: MACHINES }, () => [] as Running[]);
 
-  constructor(policy: Partial<Policy> = {}) {
-    const teams = [team('blue', 60), team('green', 60)];
+  constructor(policy: Partial<Policy> = {}, limit = 60) {
+    const teams = [team('blue', limit), team('green', limit)];
     this.state = core({ teams: new Map(teams.map((t) => [t.name, t])), valueBytes: 16_384 }, policy);
   }
 
--- a/test/model/plain-backfill.ts
+++ b/test/model/plain-backfill.ts
@@ -191,10 +191,18 @@
       runs.push(run);
       begun += 1;
       starts.push(`${j.id}@${m.id}`);
-      if (shadow > 0 && end > shadow) lasting.push(run);
+      // What started before the head counts at the shadow time, unless it has ended by then.
+      if (shadow > 0 ? end > shadow : j !== head) lasting.push(run);
     }
   };
 
+  const firstTasks = (waitedS: number) => {
+    for (const j of waiting) {
+      const waitedLong = world.now - j.submittedAt >= waitedS * 1000;
+      if (j !== head && waitedLong && left(j) === j.tasks) fill(j, 1);
+    }
+  };
+  firstTasks(world.firstTaskS * 1.5);
   fill(head);
   let missing = Math.min(left(head), teamSlots(head));
   if (missing > 0) {
@@ -221,10 +229,7 @@
       }
     }
   }
-  for (const j of waiting) {
-    const waitedLong = world.now - j.submittedAt >= world.firstTaskS * 1000;
-    if (j !== head && waitedLong && left(j) === j.tasks) fill(j, 1);
-  }
+  firstTasks(world.firstTaskS);
   for (const j of waiting) if (j !== head) fill(j);
   return { starts, head: left(head) > 0 ? head.id : null };
 };
