--- a/test/grown.test.ts
+++ b/test/grown.test.ts
@@ -95,6 +95,53 @@
   });
 });
 
+describe('a controller that has lost the state service and its peers, but not its workers', () => {
+  it('gives no orders, and a successor starts nothing twice, in time for cancelled jobs too', () => {
+    const s = new Story();
+    s.submit('job-1', { tasks: 2 });
+    const starts = s.starts(s.up('n-1'));
+    const told = starts.map(running);
+    s.checkIn('n-1', told);
+    s.submit('job-2', { tasks: 2 });
+    for (let i = 0; i < 3; i += 1) expect(s.checkIn('n-1', told, {}, 'keep-alive')).toEqual([]);
+    expect(s.checkIn('n-1', told, {}, 'none')).toBeNull();
+    // The successor hears nothing of n-1, and the cloud does not answer its deletion.
+    const next = core({ term: 8 as Term });
+    const send = (now: number, ...commands: Command[]) => step(next, commands, now as Instant, 'lead');
+    const entries = starts.map((o) => entry(o.index, o.attempt));
+    send(
+      0,
+      { kind: 'types', types: [type('c8')] },
+      { kind: 'job', spec: job('job-1', { tasks: 2 }), submittedAt: 0 as Instant },
+      { kind: 'ledger', segment: segmentKey(7 as Term, 1), machine: 'n-1' as MachineId, at, entries },
+      { kind: 'loaded' },
+    );
+    const { keepAliveMs, leaseMs } = next.config;
+    const firstSent = new Map<number, number>();
+    let seq = 0;
+    for (let now = 500; now < 60_000; now += 500) {
+      seq += 1;
+      const effects = send(now, {
+        kind: 'report',
+        report: report('n-2', seq, seq < 3 ? 7 : 8),
+        ticket: seq as Ticket,
+      });
+      for (const e of effects) {
+        if (e.kind === 'save') effects.push(...send(now, { kind: 'saved', batch: e.batch }));
+        if (e.kind === 'delete')
+          effects.push(...send(now, { kind: 'deleted', machines: e.machines, ok: false }));
+        if (e.kind !== 'answer') continue;
+        for (const o of s.starts(e.orders)) if (!firstSent.has(o.attempt)) firstSent.set(o.attempt, now);
+      }
+    }
+    const placed = [...firstSent.values()];
+    expect(placed).toHaveLength(2);
+    // Longer than the old leader may answer and its answers may count; shorter than a cancellation has.
+    for (const when of placed) expect(when).toBeGreaterThan(keepAliveMs + leaseMs);
+    for (const when of placed) expect(when).toBeLessThan(keepAliveMs + leaseMs + 5000);
+  });
+});
+
 describe('late copies', () => {
   it('of reports prove nothing and free nothing: from before, from ended sessions, from deleted machines', () => {
     const s = new Story();
