A leader cut off from all but its workers lets them go to the next one

It now turns each worker away once its lease is over and neither the state service nor a peer answers, and keeps only those that come back.

--- a/src/service/controller.ts
+++ b/src/service/controller.ts
@@ -157,6 +157,8 @@
   private helpers: readonly Peer[] = [];
   /** Since when neither the state service nor any peer answers. */
   private aloneSince: Instant | null = null;
+  /** Workers turned away while this node was cut off from all but them, and when. */
+  private readonly released = new Map<MachineId, number>();
   private nextTicket = 1;
   private turn = 0;
   private stopped = false;
@@ -258,6 +260,7 @@
   private follow(): void {
     const was = this.leading;
     this.leading = null;
+    this.released.clear();
     if (!was) return;
     was.owner.stop();
     was.persister.stop();
@@ -552,7 +555,11 @@
       this.election.deposed();
       return { kind: 'elsewhere', leader: null };
     }
-    if (this.authority() === 'none') return { kind: 'elsewhere', leader: null };
+    const authority = this.authority();
+    if (authority === 'none') return { kind: 'elsewhere', leader: null };
+    if (authority === 'keep-alive' && this.isAlone() && this.release(report.machine)) {
+      return { kind: 'elsewhere', leader: null };
+    }
     const ticket = this.nextTicket++ as Ticket;
     const orders = await new Promise<readonly Order[] | null>((resolve) => {
       const timer = setTimeout(() => {
@@ -569,12 +576,28 @@
     return { kind: 'orders', term: leading.term, orders };
   }
 
+  /**
+   * Cut off from the state service and all peers, this node is most likely the one that is cut off, and another leads or
+   * soon will: it holds no worker that can go there. One that comes back well within its lease has found nobody, and is
+   * kept alive here.
+   */
+  private release(machine: MachineId): boolean {
+    const now = steadyNow();
+    const last = this.released.get(machine);
+    if (last !== undefined && now - last < this.settings.workers.leaseS * 750) return false;
+    this.released.set(machine, now);
+    return true;
+  }
+
+  private isAlone(): boolean {
+    return this.aloneSince !== null && steadyNow() - this.aloneSince > ALONE_MS;
+  }
+
   // ---- users -------------------------------------------------------------------------------------
 
   /** A node that reaches neither the state service nor a peer can do nothing for users. */
   ready(): boolean {
-    const alone = this.aloneSince !== null && steadyNow() - this.aloneSince > ALONE_MS;
-    return this.types !== null && !alone;
+    return this.types !== null && !this.isAlone();
   }
 
   private fault(spec: JobSpec): { kind: 'impossible'; reason: string } | null {
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -49,7 +49,8 @@
   stop: () => void;
 }
 
-const cluster = async (count: number, capacity = 3, leaderLeaseMs = 600) => {
+/** `lonely`: a node that no peer reaches and that reaches none. */
+const cluster = async (count: number, capacity = 3, leaderLeaseMs = 600, lonely = -1) => {
   const state = new StateService();
   const cloud = new Cloud(capacity);
   const fronts = await Promise.all(Array.from({ length: count }, () => state.front()));
@@ -62,6 +63,8 @@
   for (let i = 0; i < count; i += 1) ports.push({ api: await freePort(), back: await freePort() });
   cloud.nodes = ports.map((p) => `127.0.0.1:${p.api}`);
   cloud.names = ports.map((_, i) => `node-${i}`);
+  const nowhere = await freePort();
+  const backOf = (i: number, j: number) => (i === lonely || j === lonely ? nowhere : ports[j]!.back);
   const start = (i: number): Node => {
     const base = JSON.parse(settingsText()) as { params: { workers: unknown } };
     base.params.workers = { report_s: 0.2, lease_s: 16, cancel_s: 40 };
@@ -71,8 +74,8 @@
         node: `node-${i}`,
         api_addr: `127.0.0.1:${ports[i]!.api}`,
         back: `127.0.0.1:${ports[i]!.back}`,
-        seeds: ports.flatMap((p, j) =>
-          j === i ? [] : [{ node: `node-${j}`, zone: 'a', endpoint: `127.0.0.1:${p.back}` }],
+        seeds: ports.flatMap((_, j) =>
+          j === i ? [] : [{ node: `node-${j}`, zone: 'a', endpoint: `127.0.0.1:${backOf(i, j)}` }],
         ),
         outside: { cloud: cloudAt, state: fronts[i]!.at },
       }),
@@ -335,6 +338,22 @@
     await until(async () => (await post(nodes[0]!.at, '/api/jobs', body('job-36')))?.status === 201);
   });
 
+  it('from the state service and its peers, but not its workers, lets them go to the next leader', async () => {
+    const { nodes, fronts, cloud } = await cluster(2, 3, 600, 0);
+    const [old, next] = nodes as [Node, Node];
+    if (next.controller.authority() === 'lead') next.controller.election.resign(2000);
+    await until(() => old.controller.authority() === 'lead');
+    cloud.taskMs = 10_000_000;
+    await until(async () => (await post(old.at, '/api/jobs', body('job-37')))?.status === 201);
+    await until(async () => (await status(old.at, 'job-37'))?.body.running === 3);
+    fronts[0]!.refuse = true;
+    await until(() => next.controller.authority() === 'lead');
+    // Well before the 21 s for which it may keep workers alive without a lease.
+    await until(async () => (await status(next.at, 'job-37'))?.body.running === 3);
+    expect(old.controller.authority()).not.toBe('lead');
+    expect(cloud.starts).toHaveLength(3);
+  });
+
   it('from the workers alone steps aside for a peer that hears them', async () => {
     const { nodes, cloud } = await cluster(2);
     const old = leaderOf(nodes)!;
