--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -162,7 +162,9 @@
   let silent = 0;
   let seen = 0;
   for (const m of state.machines.values()) {
-    if (!m.everSeen) continue;
+    // A new leader knows some machines from the ledger alone: silent they count too, or those that a cut-off former
+    // leader still holds would all be replaced after a few report periods.
+    if (!m.everSeen && m.placements.size === 0) continue;
     seen += 1;
     // Counted early: of machines that all fall silent within a report period, none must be the first to be deleted.
     if (now - m.lastSeen > limit / 2) silent += 1;
--- a/test/grown.test.ts
+++ b/test/grown.test.ts
@@ -142,6 +142,27 @@
   });
 });
 
+describe('a new leader', () => {
+  it('does not replace at once the machines it knows from the ledger alone when none of them reports', () => {
+    const state = core();
+    const send = (now: number, ...commands: Command[]) => step(state, commands, now as Instant, 'lead');
+    const machines = Array.from({ length: 6 }, (_, i) => `n-${i}` as MachineId);
+    const segment = segmentKey(6 as Term, 1);
+    send(0, { kind: 'types', types: [type('c8')] });
+    send(0, { kind: 'job', spec: job('job-1', { tasks: 6 }), submittedAt: 0 as Instant });
+    for (const [i, machine] of machines.entries()) {
+      send(0, { kind: 'ledger', segment, machine, at, entries: [entry(i, 50 + i)] });
+    }
+    send(0, { kind: 'loaded' });
+    const deleted: number[] = [];
+    for (let now = 500; now < 60_000; now += 500) {
+      const effects = send(now, { kind: 'tick' });
+      if (effects.some((e) => e.kind === 'delete')) deleted.push(now);
+    }
+    expect(Math.min(...deleted)).toBeGreaterThan(2 * state.config.leaseMs);
+  });
+});
+
 describe('late copies', () => {
   it('of reports prove nothing and free nothing: from before, from ended sessions, from deleted machines', () => {
     const s = new Story();
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -50,7 +50,7 @@
 }
 
 /** `lonely`: a node that no peer reaches and that reaches none. */
-const cluster = async (count: number, capacity = 3, leaderLeaseMs = 600, lonely = -1) => {
+const cluster = async (count: number, capacity = 3, leaderLeaseMs = 600, lonely = -1, reportS = 0.2) => {
   const state = new StateService();
   const cloud = new Cloud(capacity);
   const fronts = await Promise.all(Array.from({ length: count }, () => state.front()));
@@ -67,7 +67,7 @@
   const backOf = (i: number, j: number) => (i === lonely || j === lonely ? nowhere : ports[j]!.back);
   const start = (i: number): Node => {
     const base = JSON.parse(settingsText()) as { params: { workers: unknown } };
-    base.params.workers = { report_s: 0.2, lease_s: 16, cancel_s: 40 };
+    base.params.workers = { report_s: reportS, lease_s: 16, cancel_s: 40 };
     const settings = parseSettings(
       JSON.stringify({
         ...base,
@@ -339,12 +339,13 @@
   });
 
   it('from the state service and its peers, but not its workers, lets them go to the next leader', async () => {
-    const { nodes, fronts, cloud } = await cluster(2, 3, 600, 0);
+    const { nodes, fronts, cloud } = await cluster(2, 3, 600, 0, 2);
     const [old, next] = nodes as [Node, Node];
     if (next.controller.authority() === 'lead') next.controller.election.resign(2000);
     await until(() => old.controller.authority() === 'lead');
     cloud.taskMs = 10_000_000;
-    await until(async () => (await post(old.at, '/api/jobs', body('job-37')))?.status === 201);
+    // With report periods of 2 s none of the three machines is silent for too long while it finds the next leader.
+    await until(async () => (await post(old.at, '/api/jobs', body('job-37', { Cpus: 8 })))?.status === 201);
     await until(async () => (await status(old.at, 'job-37'))?.body.running === 3);
     fronts[0]!.refuse = true;
     await until(() => next.controller.authority() === 'lead');
