A machine whose answers went unheard is tried again a lease later

Cause: found in review. Two unheard answers shut a machine out until a start was seen on it; when the job of that start was cancelled meanwhile, none could be, and the machine stood idle for good while it counted as supply.

--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -154,6 +154,8 @@
   offered: { seq: number; attempts: Attempt[] } | null;
   /** Answers in a row that did not reach it, as far as its reports tell. */
   unheard: number;
+  /** Until when it gets no work because of that; then it is tried once more. */
+  shunUntil: Instant;
   /** Since when it reports without proof that it hears this leader. */
   unprovenSince: Instant | null;
   /** It does not hear us: it gets no more work and is replaced. */
@@ -444,6 +446,7 @@
   fullUntil: 0 as Instant,
   offered: null,
   unheard: 0,
+  shunUntil: 0 as Instant,
   unprovenSince: null,
   deaf: false,
   ticket: null,
@@ -455,7 +458,7 @@
 export const usable = (m: Machine, now: Instant): boolean =>
   m.ready &&
   !m.deaf &&
-  m.unheard < UNHEARD_STOPS &&
+  now >= m.shunUntil &&
   !m.draining &&
   !m.deleting &&
   m.lostAt === null &&
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -308,12 +308,14 @@
 const noteHearing = (state: CoreState, m: Machine, report: Report, now: Instant, effects: Effect[]): void => {
   const { offered } = m;
   m.offered = null;
+  const before = m.unheard;
   if (report.session > m.session && m.answeredSession === m.session && m.session > 0) m.unheard += 1;
   else if (offered && report.session === m.session && report.seq > offered.seq) {
     const shown = new Set<number>(report.tasks.map((t) => t.attempt));
-    if (offered.attempts.some((attempt) => shown.has(attempt))) m.unheard = 0;
-    else m.unheard += 1;
+    m.unheard = offered.attempts.some((attempt) => shown.has(attempt)) ? 0 : m.unheard + 1;
   }
+  if (m.unheard > before && m.unheard >= UNHEARD_STOPS) m.shunUntil = later(now, state.config.leaseMs);
+  else if (m.unheard === 0) m.shunUntil = 0 as Instant;
   const { unprovenSince } = m;
   const unproven = unprovenSince !== null && now - unprovenSince > 1.5 * state.config.leaseMs;
   if (m.deaf || (m.unheard < UNHEARD_REPLACES && !unproven)) return;
--- a/test/grown.test.ts
+++ b/test/grown.test.ts
@@ -68,6 +68,25 @@
     expect(s.state.machines.get('n-1' as MachineId)?.deaf).toBe(true);
   });
 
+  it('gets work again a lease later when nothing more tells against it', () => {
+    const s = new Story();
+    s.up('n-1');
+    s.submit('job-1', { tasks: 1 });
+    for (let i = 0; i < 3; i += 1) s.checkIn('n-1');
+    s.send({ kind: 'abort', job: 'job-1' as JobId, ticket: 5 as Ticket });
+    s.submit('job-2', { tasks: 1 });
+    expect(s.starts(s.checkIn('n-1'))).toEqual([]);
+    for (let i = 0; i < 12; i += 1) {
+      s.pass(1500);
+      const starts = s.starts(s.checkIn('n-1'));
+      if (starts.length === 0) continue;
+      s.checkIn('n-1', starts.map(running));
+      break;
+    }
+    expect(s.state.jobs.get('job-2' as JobId)?.held.size).toBe(1);
+    expect(s.state.machines.get('n-1' as MachineId)).toMatchObject({ unheard: 0, deaf: false });
+  });
+
   it('is not believed gone of a cancelled task: it stays counted until the proof', () => {
     const s = new Story();
     s.up('n-1');
