--- a/src/adapters/worker-client.ts
+++ b/src/adapters/worker-client.ts
@@ -5,7 +5,8 @@
 import { ordersOut, parseReport } from './wire.js';
 
 const REQUEST_MS = 3000;
-const MAX_CLIENTS = 64;
+/** As many as machines: to close one whose orders are under way would lose kills of a large cancelled job. */
+const MAX_CLIENTS = 1000;
 
 export class WorkerClient {
   private readonly clients = new Map<string, HttpClient>();
--- a/src/service/controller.ts
+++ b/src/service/controller.ts
@@ -412,7 +412,7 @@
       if (!this.state.down) this.aloneSince = null;
       if (!leading && !this.state.down) continue;
       const heard = leads ? this.hearing(leading) : null;
-      if (leads && !heard) continue;
+      if (leads && !heard && !this.state.down) continue;
       const peers = [...this.peers.values()];
       const answers = await Promise.all(peers.map((peer) => peer.ask({ ask: 'health' }, PEER_MS)));
       const told = answers.map(readHealth);
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -1,3 +1,4 @@
+import { createServer as createHttpServer } from 'node:http';
 import { type AddressInfo, connect, createServer, type Server } from 'node:net';
 import { Hono } from 'hono';
 import pino from 'pino';
@@ -8,6 +9,7 @@
 import { Jitter } from '../src/adapters/random.js';
 import { DEFAULT_POLICY, parseSettings } from '../src/adapters/settings.js';
 import { StateClient } from '../src/adapters/state-client.js';
+import { WorkerClient } from '../src/adapters/worker-client.js';
 import { segmentKey } from '../src/core/state.js';
 import type { Instant, JobId, Revision, SaveOp, Term, Ticket } from '../src/core/types.js';
 import { Controller } from '../src/service/controller.js';
@@ -457,6 +459,45 @@
   });
 });
 
+describe('direct orders', () => {
+  it('to many machines at once, as when a large job is cancelled, do not cut one another off', async () => {
+    const count = 90;
+    const waiting: (() => void)[] = [];
+    const told = JSON.stringify({
+      Berth: 'n-1',
+      Endpoint: '127.0.0.1:9',
+      Hull: 'c8',
+      Yard: 'a',
+      Tenure: 1,
+      Tick: 2,
+      Baton: 7,
+    });
+    const servers = await Promise.all(
+      Array.from({ length: count }, async () => {
+        const server = createHttpServer((_, res) => {
+          waiting.push(() => res.writeHead(200, { 'content-type': 'application/json' }).end(told));
+          // Nobody is answered before all have been asked.
+          if (waiting.length === count) for (const answer of waiting) answer();
+        });
+        await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+        cleanups.push(
+          () => server.close(),
+          () => server.closeAllConnections(),
+        );
+        return server;
+      }),
+    );
+    const client = new WorkerClient();
+    const answers = await Promise.all(
+      servers.map((server) => {
+        const { port } = server.address() as AddressInfo;
+        return client.orders(`127.0.0.1:${port}`, 7 as Term, 1, []);
+      }),
+    );
+    expect(answers.filter((report) => report?.machine === 'n-1')).toHaveLength(count);
+  });
+});
+
 describe('under overload', () => {
   it('turns users away at once beyond a bound, with Retry-After, and serves again when there is room', async () => {
     const port = await freePort();
