--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -250,7 +250,20 @@
     expect((answer.body as { Status: string }).Status).toBe('withdrawn');
     expect(state.keys.get('f/job-5')?.data).toMatchObject({ o: 'cancelled' });
     await until(() => [...cloud.workers.values()].every((w) => w.running().length === 0));
-    for (const node of nodes) expect((await status(node.at, 'job-5'))?.body.Status).toBe('withdrawn');
+    // Repeats of what was carried out, at any node, change nothing: neither of the abort nor of the submission.
+    const { epoch } = state;
+    for (const node of nodes) {
+      const again = [
+        await post(node.at, '/api/jobs/job-5/abort', {}),
+        await post(node.at, '/api/jobs', body('job-5')),
+      ];
+      for (const r of again)
+        expect([r?.status, (r?.body as { Status: string }).Status]).toEqual([200, 'withdrawn']);
+      expect((await status(node.at, 'job-5'))?.body.Status).toBe('withdrawn');
+    }
+    expect(state.keys.has('j/job-5')).toBe(false);
+    expect(state.keys.get('f/job-5')!.stamp).toBeLessThanOrEqual(epoch);
+    expect(cloud.starts).toHaveLength(3);
   });
 
   it('answers 503 with Retry-After at once while the state service is away, and takes up again after', async () => {
