--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -257,8 +257,7 @@
         await post(node.at, '/api/jobs/job-5/abort', {}),
         await post(node.at, '/api/jobs', body('job-5')),
       ];
-      for (const r of again)
-        expect([r?.status, (r?.body as { Status: string }).Status]).toEqual([200, 'withdrawn']);
+      for (const r of again) expect(r).toMatchObject({ status: 200, body: { Status: 'withdrawn' } });
       expect((await status(node.at, 'job-5'))?.body.Status).toBe('withdrawn');
     }
     expect(state.keys.has('j/job-5')).toBe(false);
