--- /dev/null
+++ b/src/core/jobs.ts
@@ -0,0 +1,115 @@
+/** Jobs: their arrival, their end, and what happens to their tasks. */
+import { SUSPECT_MACHINES } from './backfill.js';
+import { quarantine } from './fleet.js';
+import { note } from './note.js';
+import { sendKills } from './orders.js';
+import {
+  CHUNK_TASKS,
+  type CoreState,
+  chunkOf,
+  isDone,
+  type Job,
+  leaveChunkSegment,
+  type Machine,
+  newJob,
+  type Placement,
+} from './state.js';
+import { type Effect, type Instant, type JobId, later, seconds, type Ticket } from './types.js';
+
+export const addJob = (state: CoreState, spec: Job['spec'], submittedAt: Instant): void => {
+  if (state.jobs.has(spec.id)) return;
+  const job = newJob(spec, submittedAt);
+  state.jobs.set(spec.id, job);
+  state.placementDue = true;
+};
+
+const settle = (job: Job, effects: Effect[]): void => {
+  const outcome = job.final === 'cancelled' ? 'cancelled' : 'done';
+  for (const ticket of job.abortTickets) effects.push({ kind: 'settled', ticket, outcome });
+  job.abortTickets = [];
+};
+
+export const abortJob = (state: CoreState, id: JobId, ticket: Ticket, effects: Effect[]): void => {
+  const job = state.jobs.get(id);
+  if (!job) {
+    effects.push({ kind: 'settled', ticket, outcome: null });
+    return;
+  }
+  job.abortTickets.push(ticket);
+  if (job.final !== 'none') return;
+  job.final = 'cancelled';
+  state.dirtyFinals.add(job);
+  // Until the result is stored the tasks run on: should the write fail, the job is not cancelled.
+};
+
+const killAll = (job: Job): void => {
+  for (const placements of job.held.values()) {
+    for (const p of placements) p.kill = { graceS: 0, sentAt: null };
+  }
+};
+
+export const finishSaved = (state: CoreState, job: Job, effects: Effect[]): void => {
+  state.jobs.delete(job.spec.id);
+  for (const chunk of job.chunks.values()) leaveChunkSegment(state, chunk);
+  if (state.head === job.spec.id) state.head = null;
+  const outcome = job.final === 'cancelled' ? 'cancelled' : 'done';
+  effects.push({ kind: 'final', job: job.spec.id, outcome, tasks: job.spec.tasks, team: job.spec.team });
+  settle(job, effects);
+  killAll(job);
+  for (const m of state.machines.values()) m.failedJobs.delete(job.spec.id);
+  if (outcome === 'cancelled') for (const m of machinesOf(job)) sendKills(m, effects);
+  state.placementDue = true;
+};
+
+const machinesOf = (job: Job): Set<Machine> => {
+  const machines = new Set<Machine>();
+  for (const placements of job.held.values()) for (const p of placements) machines.add(p.machine);
+  return machines;
+};
+
+export const markDone = (state: CoreState, job: Job, p: Placement, now: Instant): void => {
+  const { index } = p.entry;
+  if (index >= job.spec.tasks) return;
+  const chunk = chunkOf(job, index);
+  const number = Math.floor(index / CHUNK_TASKS);
+  if (!isDone(job, index)) {
+    const at = index % CHUNK_TASKS;
+    chunk.bits[at >> 3] = (chunk.bits[at >> 3] ?? 0) | (1 << (at & 7));
+    chunk.version += 1;
+    job.doneCount += 1;
+    state.dirtyChunks.set(`${job.spec.id}/${number}`, { job, chunk: number });
+    state.dirtySince ??= now;
+    for (const other of job.held.get(index) ?? []) {
+      if (other !== p) other.kill = { graceS: 0, sentAt: null };
+    }
+    if (job.doneCount >= job.spec.tasks && job.final === 'none') {
+      job.final = 'done';
+      state.dirtyFinals.add(job);
+    }
+  }
+  p.needs = { chunk: number, version: chunk.version };
+  job.failedOn.clear();
+  job.failures = 0;
+};
+
+export const noteFailure = (
+  state: CoreState,
+  job: Job,
+  m: Machine,
+  now: Instant,
+  effects: Effect[],
+): void => {
+  job.failures += 1;
+  job.failedOn.add(m.id);
+  m.failedJobs.add(job.spec.id);
+  if (job.failedOn.size >= SUSPECT_MACHINES) {
+    // The job's own mistake: the machines are not to blame, and it must neither hold the head nor burn them.
+    for (const other of state.machines.values()) other.failedJobs.delete(job.spec.id);
+    const pause = Math.min(60, 2 ** Math.min(job.failures - SUSPECT_MACHINES + 1, 6));
+    job.retryAt = later(now, seconds(Math.max(2, pause)));
+    if (state.head === job.spec.id) state.head = null;
+    note(effects, 'info', 'job fails on every machine, pausing', { job: job.spec.id, pauseS: pause });
+  } else if (quarantine(state, m, now)) {
+    note(effects, 'info', 'machine fails tasks of several jobs, replacing it', { machine: m.id });
+  }
+};
--- /dev/null
+++ b/src/core/note.ts
@@ -0,0 +1,11 @@
+/** What the core has to say to the log. */
+import type { Effect } from './types.js';
+
+export const note = (
+  effects: Effect[],
+  level: 'info' | 'debug',
+  text: string,
+  fields: Record<string, unknown>,
+): void => {
+  effects.push({ kind: 'note', level, text, fields });
+};
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -262,3 +262,6 @@
       readonly text: string;
       readonly fields: Record<string, unknown>;
     };
+
+/** What the service may do now: everything, only keep workers' leases alive, or nothing. */
+export type Authority = 'lead' | 'keep-alive' | 'none';
--- a/src/service/controller.ts
+++ b/src/service/controller.ts
@@ -11,8 +11,8 @@
 import type { JobView } from '../adapters/wire.js';
 import { WorkerClient } from '../adapters/worker-client.js';
 import { createCore } from '../core/state.js';
-import type { Authority } from '../core/step.js';
 import {
+  type Authority,
   type Command,
   type Effect,
   type Instant,
--- a/src/service/owner.ts
+++ b/src/service/owner.ts
@@ -6,8 +6,8 @@
  */
 import { steadyNow } from '../adapters/clock.js';
 import type { CoreState } from '../core/state.js';
-import { type Authority, step } from '../core/step.js';
-import type { Command, Effect, Instant } from '../core/types.js';
+import { step } from '../core/step.js';
+import type { Authority, Command, Effect, Instant } from '../core/types.js';
 
 const MAX_PAUSE_MS = 250;
 const DECISIONS_SHARE = 0.35;
--- a/test/model/simulated-world.ts
+++ b/test/model/simulated-world.ts
@@ -6,8 +6,9 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { CoreState } from '../../src/core/state.js';
-import { type Authority, step } from '../../src/core/step.js';
+import { step } from '../../src/core/step.js';
 import type {
+  Authority,
   Command,
   Effect,
   Instant,
--- a/test/model/story.ts
+++ b/test/model/story.ts
@@ -1,7 +1,16 @@
 /** Tells a core a story: what is sent to it, what passes, what machines say. */
 import type { CoreState } from '../../src/core/state.js';
-import { type Authority, step } from '../../src/core/step.js';
-import type { Command, Effect, Instant, Order, Report, ReportedTask, Ticket } from '../../src/core/types.js';
+import { step } from '../../src/core/step.js';
+import type {
+  Authority,
+  Command,
+  Effect,
+  Instant,
+  Order,
+  Report,
+  ReportedTask,
+  Ticket,
+} from '../../src/core/types.js';
 import { core, job, report, task, type } from './build.js';
 
 /** Drives a core by hand; saves are stored at once, so that each test reads like a story. */
