--- a/src/adapters/api.ts
+++ b/src/adapters/api.ts
@@ -4,7 +4,8 @@
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { type Context, Hono } from 'hono';
 import type { JobId, TeamName } from '../core/types.js';
-import type { Controller, Lookup } from '../service/controller.js';
+import type { Controller } from '../service/controller.js';
+import type { Lookup } from '../service/users.js';
 import { steadyNow } from './clock.js';
 import type { Log } from './log.js';
 import type { Settings } from './settings.js';
@@ -97,7 +98,7 @@
     const id = parseJobId((json as { Ref?: unknown }).Ref);
     if (!id) return c.json({ error: 'Ref: missing or malformed' }, 400);
     const from = steadyNow();
-    const result = await controller.submit(id, parseJob(json));
+    const result = await controller.users.submit(id, parseJob(json));
     log.debug({ job: id, result: result.kind, ms: Math.round(steadyNow() - from) }, 'submission');
     if (result.kind === 'accepted') return c.json(jobAnswer(result.view), 201);
     if (result.kind === 'later') return later(c, result.reason);
@@ -115,13 +116,13 @@
   app.get('/api/jobs', async (c) => {
     const team = c.req.query('team');
     if (!team) return c.json({ error: 'name a team: ?team=NAME' }, 400);
-    const jobs = await controller.list(team as TeamName);
+    const jobs = await controller.users.list(team as TeamName);
     return jobs ? c.json({ jobs: jobs.map(jobAnswer) }) : later(c, 'no leader to ask');
   });
 
   /** Scoping, not authentication: with ?team=NAME, another team's job is as good as absent. */
   const visible = async (c: Context, id: JobId): Promise<Lookup> => {
-    const view = await controller.lookUp(id);
+    const view = await controller.users.lookUp(id);
     const team = c.req.query('team');
     return typeof view === 'object' && team !== undefined && view.team !== team ? 'absent' : view;
   };
@@ -138,7 +139,7 @@
       const view = await visible(c, id);
       if (typeof view !== 'object') return say(c, view);
     }
-    const told = await controller.explain(id);
+    const told = await controller.users.explain(id);
     return told ? c.json(told) : say(c, await visible(c, id));
   });
 
@@ -149,7 +150,7 @@
       const view = await visible(c, id);
       if (typeof view !== 'object') return say(c, view);
     }
-    return say(c, await controller.abort(id));
+    return say(c, await controller.users.abort(id));
   });
 
   app.notFound((c) => c.json({ error: 'no such path' }, 404));
--- /dev/null
+++ b/src/service/leadership.ts
@@ -0,0 +1,379 @@
+/** One term of leadership: the takeover, what the leader watches, and what its decisions set in motion. */
+import { fromTimeOfDay, sleep, steadyNow } from '../adapters/clock.js';
+import { createCore } from '../core/state.js';
+import {
+  type Authority,
+  type Command,
+  type Effect,
+  type Instant,
+  type JobId,
+  type MachineId,
+  type Millis,
+  type Order,
+  type Outcome,
+  type Report,
+  type Revision,
+  type SegmentKey,
+  seconds,
+  type Term,
+  type Ticket,
+} from '../core/types.js';
+import type { Election } from './election.js';
+import { Owner } from './owner.js';
+import type { Parts } from './parts.js';
+import { Persister } from './persister.js';
+import {
+  type FinalRecord,
+  JOBS,
+  type JobRecord,
+  jobKey,
+  LEDGER,
+  OLD_LEDGER,
+  readJob,
+  readSegment,
+} from './records.js';
+
+/** Attempts on one machine: its report must fit a request of 64 KiB. */
+const MAX_PER_MACHINE = 400;
+const TICK_MS = 250;
+/** A worker gives an answer up after 4 s. */
+const TICKET_MS = 3700;
+const ABORT_MS = 2700;
+const LIST_EVERY_MS = 4000;
+const TYPES_EVERY_MS = 60_000;
+const JOBS_FOLLOW_MS = 15_000;
+
+export interface LeadershipEvents {
+  /** A job's end is stored. */
+  over(id: JobId, final: FinalRecord): void;
+  isOver(id: JobId): boolean;
+  /** Neither the state service nor any peer answers this node. */
+  isAlone(): boolean;
+}
+
+export class Leadership {
+  readonly owner: Owner;
+  private readonly persister: Persister;
+  private readonly answers = new Map<Ticket, (orders: readonly Order[] | null) => void>();
+  private readonly aborts = new Map<Ticket, (outcome: Outcome | null | 'late') => void>();
+  /** Workers turned away while this node was cut off from all but them, and when. */
+  private readonly released = new Map<MachineId, number>();
+  private nextTicket = 1;
+  private current = true;
+
+  constructor(
+    private readonly parts: Parts,
+    readonly term: Term,
+    acquiredAt: Instant,
+    private readonly election: Election,
+    private readonly events: LeadershipEvents,
+  ) {
+    const { workers, cloudLimits, stateLimits, teams, quota } = parts.settings;
+    const core = createCore({
+      term,
+      acquiredAt,
+      teams,
+      policy: parts.policy,
+      reportMs: seconds(workers.reportS),
+      leaseMs: seconds(workers.leaseS),
+      keepAliveMs: this.keepAliveMs(),
+      listLagMs: seconds(cloudLimits.listLagS),
+      txnOps: stateLimits.txnOps,
+      valueBytes: stateLimits.valueBytes,
+      maxPerMachine: MAX_PER_MACHINE,
+    });
+    this.owner = new Owner(
+      core,
+      () => this.authority(),
+      (effect) => this.carryOut(effect),
+      steadyNow,
+      quota.cores,
+    );
+    this.persister = new Persister(parts.batchState, term, parts.log, parts.jitter);
+  }
+
+  start(): void {
+    this.parts.spawn('takeover', () => this.takeOver());
+  }
+
+  stop(): void {
+    this.current = false;
+    this.owner.stop();
+    this.persister.stop();
+    for (const resolve of this.answers.values()) resolve(null);
+    this.answers.clear();
+    for (const resolve of this.aborts.values()) resolve('late');
+    this.aborts.clear();
+  }
+
+  private keepAliveMs(): Millis {
+    const { cancelS, leaseS } = this.parts.settings.workers;
+    return seconds(Math.min(60, Math.max(0, cancelS - leaseS - 3)));
+  }
+
+  authority(): Authority {
+    if (!this.current || this.election.term !== this.term) return 'none';
+    const now = steadyNow();
+    if (now < this.election.validUntil) return 'lead';
+    return now < this.election.validUntil + this.keepAliveMs() ? 'keep-alive' : 'none';
+  }
+
+  // ---- takeover and watches ----------------------------------------------------------------------
+
+  private async readAll(prefix: string) {
+    while (this.current) {
+      const all = await this.parts.batchState.listAll(prefix);
+      if (typeof all === 'object') return all;
+      await sleep(this.parts.jitter.around(200));
+    }
+    return null;
+  }
+
+  private async takeOver(): Promise<void> {
+    const { stamps } = this.persister;
+    // Only a leader writes the ledger, and none but this one can any more; of jobs accepted meanwhile the watch tells.
+    const all = await Promise.all([JOBS, LEDGER, OLD_LEDGER].map((prefix) => this.readAll(prefix)));
+    const [jobs, ledger, old] = all;
+    if (!jobs || !ledger || !old || !this.current) return;
+    const commands: Command[] = [];
+    if (this.parts.types) commands.push({ kind: 'types', types: this.parts.types });
+    for (const item of jobs.items) this.jobFrom(item.key, item.value, item.revision, commands);
+    const entered: Command[] = [];
+    for (const { key, value, revision } of [...ledger.items, ...old.items]) {
+      stamps.set(key, revision);
+      const segment = key as SegmentKey;
+      const record = readSegment(value);
+      if (!record) {
+        this.parts.log.error({ key }, 'unreadable record');
+        commands.push({ kind: 'unreadable', segment });
+        continue;
+      }
+      for (const row of record.progress) commands.push({ kind: 'progress', segment, ...row });
+      for (const row of record.machines) entered.push({ kind: 'ledger', segment, ...row });
+    }
+    // What is done first: an attempt of a task that is done needs no second look.
+    commands.push(...entered);
+    commands.push({ kind: 'loaded' });
+    this.parts.log.info({ jobs: jobs.items.length, records: ledger.items.length }, 'took over');
+    this.owner.start(commands);
+    this.parts.spawn('jobs', () => this.watchJobs(jobs.revision));
+    this.parts.spawn('ticks', () => this.ticks());
+    this.parts.spawn('machines', () => this.watchMachines());
+  }
+
+  private jobFrom(key: string, value: unknown, revision: Revision, out: Command[]): void {
+    const record = readJob(value);
+    if (!record || key !== jobKey(record.spec.id)) {
+      this.parts.log.error({ key }, 'unreadable record');
+      return;
+    }
+    this.persister.stamps.set(key, revision);
+    out.push({ kind: 'job', spec: record.spec, submittedAt: fromTimeOfDay(record.at) });
+  }
+
+  /** A job that this very node has just stored. */
+  admitted(record: JobRecord, revision: Revision): void {
+    this.persister.stamps.set(jobKey(record.spec.id), revision);
+    this.owner.submit({ kind: 'job', spec: record.spec, submittedAt: fromTimeOfDay(record.at) });
+  }
+
+  /** A job that the state service holds and this leader did not know yet. */
+  found(key: string, value: unknown, revision: Revision): void {
+    const commands: Command[] = [];
+    this.jobFrom(key, value, revision, commands);
+    for (const command of commands) this.owner.submit(command);
+  }
+
+  /** Jobs that other nodes accept show up as changes under their prefix. */
+  private async watchJobs(from: Revision): Promise<void> {
+    let revision = from;
+    while (this.current) {
+      const result = await this.parts.batchState.follow(JOBS, revision, JOBS_FOLLOW_MS);
+      if (!this.current) return;
+      const commands: Command[] = [];
+      if (typeof result === 'object') {
+        revision = result.revision;
+        for (const c of result.changes) {
+          if ('value' in c) this.jobFrom(c.key, c.value, c.revision, commands);
+        }
+      } else if (result === 'too-old') {
+        const all = await this.readAll(JOBS);
+        if (!all) return;
+        revision = all.revision;
+        for (const item of all.items) this.jobFrom(item.key, item.value, item.revision, commands);
+      } else await sleep(this.parts.jitter.around(200));
+      for (const command of commands) {
+        // A change of before this leader finished the job says nothing new.
+        if (command.kind === 'job' && this.events.isOver(command.spec.id)) continue;
+        this.owner.submit(command);
+      }
+    }
+  }
+
+  private async ticks(): Promise<void> {
+    while (this.current) {
+      this.owner.submit({ kind: 'tick' });
+      await sleep(TICK_MS);
+    }
+  }
+
+  private async watchMachines(): Promise<void> {
+    let typesAt = 0;
+    while (this.current) {
+      const askedAt = steadyNow();
+      if (this.authority() === 'lead') {
+        const machines = await this.parts.cloud.list();
+        if (machines) this.owner.submit({ kind: 'listed', askedAt, machines });
+        if (steadyNow() - typesAt > TYPES_EVERY_MS || !this.parts.types) {
+          const types = await this.parts.cloud.types();
+          if (types) {
+            typesAt = steadyNow();
+            this.parts.types = types;
+            this.owner.submit({ kind: 'types', types });
+          }
+        }
+      }
+      await sleep(LIST_EVERY_MS);
+    }
+  }
+
+  // ---- effects -----------------------------------------------------------------------------------
+
+  private carryOut(effect: Effect): void {
+    if (!this.current) return;
+    const entitled = () => this.current && this.authority() === 'lead';
+    switch (effect.kind) {
+      case 'answer': {
+        const resolve = this.answers.get(effect.ticket);
+        this.answers.delete(effect.ticket);
+        resolve?.(effect.orders);
+        return;
+      }
+      case 'settled': {
+        const resolve = this.aborts.get(effect.ticket);
+        this.aborts.delete(effect.ticket);
+        resolve?.(effect.outcome);
+        return;
+      }
+      case 'final':
+        this.events.over(effect.job, effect);
+        this.parts.log.info({ job: effect.job, outcome: effect.outcome }, 'job over');
+        return;
+      case 'save':
+        this.parts.spawn('save', async () => {
+          const stored = await this.persister.save(effect.ops);
+          if (!this.current) return;
+          if (stored) this.owner.submit({ kind: 'saved', batch: effect.batch });
+          else this.election.deposed();
+        });
+        return;
+      case 'rent':
+        this.parts.spawn('rent', async () => {
+          const { request, type, zone, spot, count } = effect;
+          const result = await this.parts.cloud.rent(request, type, zone, spot, count, entitled);
+          const outcome = typeof result === 'string' ? result : 'ok';
+          const machines = typeof result === 'string' ? [] : result;
+          this.parts.log.info({ request, type, zone, spot, count, outcome, machines }, 'rent');
+          this.owner.submit({ kind: 'rented', request, result: outcome, machines });
+        });
+        return;
+      case 'delete':
+        this.parts.spawn('delete', async () => {
+          const ok = await this.parts.cloud.delete(effect.machines, entitled);
+          this.parts.log.info({ machines: effect.machines, ok }, 'return machines');
+          this.owner.submit({ kind: 'deleted', machines: effect.machines, ok });
+        });
+        return;
+      case 'orders':
+        this.parts.spawn('orders', async () => {
+          const { endpoint, session, orders } = effect;
+          const report = await this.parts.workers.orders(endpoint, this.term, session, orders);
+          if (!report || !this.current || report.machine !== effect.machine) return;
+          if (report.term > this.term) this.election.deposed();
+          else this.owner.submit({ kind: 'report', report, ticket: null });
+        });
+        return;
+      case 'note':
+        this.parts.log[effect.level](effect.fields, effect.text);
+    }
+  }
+
+  // ---- workers -----------------------------------------------------------------------------------
+
+  /** The orders for a worker; 'elsewhere' when it should turn to another node; null for "not now". */
+  async checkIn(report: Report): Promise<readonly Order[] | 'elsewhere' | null> {
+    if (report.term > this.term) {
+      this.parts.log.info({ machine: report.machine, term: report.term }, 'a worker has seen a higher term');
+      this.election.deposed();
+      return 'elsewhere';
+    }
+    const authority = this.authority();
+    if (authority === 'none') return 'elsewhere';
+    if (authority === 'keep-alive' && this.events.isAlone() && this.letsGo(report.machine))
+      return 'elsewhere';
+    const ticket = this.nextTicket++ as Ticket;
+    const orders = await new Promise<readonly Order[] | null>((resolve) => {
+      const timer = setTimeout(() => {
+        this.answers.delete(ticket);
+        resolve(null);
+      }, TICKET_MS);
+      this.answers.set(ticket, (given) => {
+        clearTimeout(timer);
+        resolve(given);
+      });
+      this.owner.submit({ kind: 'report', report, ticket });
+    });
+    if (!orders || !this.current) return null;
+    // The process may have stood still since the orders were decided: right and time are looked at again as they go out.
+    const now = this.authority();
+    if (now === 'none') return null;
+    return now === 'lead' ? orders : [];
+  }
+
+  /**
+   * Cut off from the state service and all peers, this node is most likely the one that is cut off, and another leads or
+   * soon will: it holds no worker that can go there. One that comes back well within its lease has found nobody, and is
+   * kept alive here.
+   */
+  private letsGo(machine: MachineId): boolean {
+    const now = steadyNow();
+    const last = this.released.get(machine);
+    if (last !== undefined && now - last < this.parts.settings.workers.leaseS * 750) return false;
+    this.released.set(machine, now);
+    return true;
+  }
+
+  /** How many workers a leader has heard of late, when they are suspiciously few. */
+  hearing(): { recent: number; known: number } | null {
+    const { core } = this.owner;
+    const now = steadyNow();
+    const span = this.parts.settings.workers.reportS * 2500;
+    if (now - core.config.acquiredAt < 2 * span) return null;
+    let recent = 0;
+    let known = 0;
+    for (const m of core.machines.values()) {
+      if (!m.everSeen) continue;
+      known += 1;
+      if (now - m.lastSeen < span) recent += 1;
+    }
+    return known >= 2 && recent * 3 < known ? { recent, known } : null;
+  }
+
+  // ---- users -------------------------------------------------------------------------------------
+
+  /** How an abort ended: the job's final state, null when the job is not known here, or 'late'. */
+  abort(id: JobId): Promise<Outcome | null | 'late'> {
+    const ticket = this.nextTicket++ as Ticket;
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => {
+        this.aborts.delete(ticket);
+        resolve('late');
+      }, ABORT_MS);
+      this.aborts.set(ticket, (o) => {
+        clearTimeout(timer);
+        resolve(o);
+      });
+      this.owner.submit({ kind: 'abort', job: id, ticket });
+    });
+  }
+}
--- /dev/null
+++ b/src/service/parts.ts
@@ -0,0 +1,26 @@
+/** What the parts of a controller share. */
+import type { CloudClient } from '../adapters/cloud-client.js';
+import type { Log } from '../adapters/log.js';
+import type { Peer } from '../adapters/peer-link.js';
+import type { Jitter } from '../adapters/random.js';
+import type { Settings } from '../adapters/settings.js';
+import type { StateClient } from '../adapters/state-client.js';
+import type { WorkerClient } from '../adapters/worker-client.js';
+import type { MachineType, NodeId, Policy } from '../core/types.js';
+
+export interface Parts {
+  readonly settings: Settings;
+  readonly policy: Policy;
+  readonly log: Log;
+  readonly jitter: Jitter;
+  /** The leader's batches and admissions draw on separate shares of the write limit. */
+  readonly state: StateClient;
+  readonly batchState: StateClient;
+  readonly cloud: CloudClient;
+  readonly workers: WorkerClient;
+  readonly peers: ReadonlyMap<NodeId, Peer>;
+  /** null until they are known. */
+  types: readonly MachineType[] | null;
+  /** Work that goes on by itself; should it fail, the process ends. */
+  readonly spawn: (name: string, work: () => Promise<void>) => void;
+}
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -13,6 +13,7 @@
 import { WorkerClient } from '../src/adapters/worker-client.js';
 import { segmentKey } from '../src/core/state.js';
 import type {
+  Authority,
   Instant,
   JobId,
   MachineId,
@@ -552,13 +553,14 @@
   it('sends no start that it decided before: right and time are looked at as the answer goes out', async () => {
     const { nodes, cloud } = await cluster(1);
     const { at, controller } = nodes[0]!;
-    const inside = controller as unknown as { carryOut(effect: { kind: string; orders?: unknown[] }): void };
+    type Inside = { authority(): Authority; carryOut(effect: { kind: string; orders?: unknown[] }): void };
+    const { leading } = controller as unknown as { leading: Inside };
     let frozen = false;
     let decided = 0;
-    const authority = controller.authority.bind(controller);
-    vi.spyOn(controller, 'authority').mockImplementation(() => (frozen ? 'keep-alive' : authority()));
-    const carryOut = inside.carryOut.bind(controller);
-    vi.spyOn(inside, 'carryOut').mockImplementation((effect) => {
+    const authority = leading.authority.bind(leading);
+    vi.spyOn(leading, 'authority').mockImplementation(() => (frozen ? 'keep-alive' : authority()));
+    const carryOut = leading.carryOut.bind(leading);
+    vi.spyOn(leading, 'carryOut').mockImplementation((effect) => {
       carryOut(effect);
       if (effect.kind !== 'answer' || !effect.orders?.length || decided > 0) return;
       decided = effect.orders.length;
