Drawn histories: many machines at once, frozen and absent controllers, a slow state service

A good third of the machines are gone, restart, hang, are held back or get a notice together; the leader stands still for up to 30 s and goes on with what came in; every controller ends; the state service is away or takes seconds. Counts show that the histories contain them.

--- a/test/model/simulated-world.ts
+++ b/test/model/simulated-world.ts
@@ -63,6 +63,8 @@
   cutOffUntil = 0;
   /** While deaf, its reports arrive, but no answer and no command reaches it. */
   deafUntil = 0;
+  /** What it sends and what is sent to it is held back until then, and arrives all at once. */
+  heldUntil = 0;
   lastAt = 0;
 
   constructor(
@@ -99,6 +101,8 @@
   /** false once another has taken over: what it still does is fenced by the store. */
   alive: boolean;
   validUntil: number;
+  /** Until then the process stands still, while its clock runs on. */
+  frozenUntil: number;
   queue: Command[];
 }
 
@@ -121,6 +125,8 @@
   private messages: Message[] = [];
   private readonly rng;
   private cloudDownUntil = 0;
+  private stateDownUntil = 0;
+  private stateSlowUntil = 0;
   private nextMachine = 0;
   private readonly tickets = new Map<number, (orders: readonly Order[] | null) => void>();
   private nextTicket = 1;
@@ -134,6 +140,13 @@
   copies = 0;
   deafSpells = 0;
   quickReturns = 0;
+  /** Troubles of many machines at once, by kind. */
+  readonly crowds = { gone: 0, restarted: 0, hung: 0, held: 0, noticed: 0 };
+  freezes = 0;
+  /** All controllers down at once. */
+  blackouts = 0;
+  outages = 0;
+  slowSpells = 0;
 
   constructor(seed: number) {
     this.rng = xoroshiro128plus(seed);
@@ -159,6 +172,17 @@
     return this.chance(4) ? this.int(500, 9000) : this.int(1, 40);
   }
 
+  /** How long the state service takes: now and then 15 to 40 times as long, and in an outage nothing passes. */
+  private stateDelay(): number {
+    const outage = Math.max(0, this.stateDownUntil - this.now);
+    return outage + (this.now < this.stateSlowUntil ? this.int(300, 4000) : this.delay());
+  }
+
+  /** How long what goes to or comes from a machine takes: while its packets are held back, they come all at once. */
+  private wire(w: Worker): number {
+    return Math.max(0, w.heldUntil - this.now) + this.delay();
+  }
+
   private addMachine(ordinary: boolean, bootMs: number): Worker {
     const id = `n-${String(this.nextMachine).padStart(4, '0')}`;
     this.nextMachine += 1;
@@ -175,6 +199,12 @@
   }
 
   private elect(): void {
+    if (this.now < this.stateDownUntil) {
+      this.soon(this.stateDelay(), () => {
+        if (!this.leader()) this.elect();
+      });
+      return;
+    }
     this.store.term += this.int(1, 5);
     const term = this.store.term;
     const state = core({
@@ -183,7 +213,14 @@
       teams: new Map(TEAMS.map((t) => [t.name, t])),
       txnOps: 6,
     });
-    const leader: Leader = { term, state, alive: true, validUntil: this.now + 3000, queue: [] };
+    const leader: Leader = {
+      term,
+      state,
+      alive: true,
+      validUntil: this.now + 3000,
+      frozenUntil: 0,
+      queue: [],
+    };
     this.leaders.push(leader);
     this.takeovers += 1;
     leader.queue.push({ kind: 'types', types: [TYPE] });
@@ -214,6 +251,7 @@
   }
 
   private runLeader(leader: Leader): void {
+    if (this.now < leader.frozenUntil) return;
     const commands = leader.queue;
     leader.queue = [];
     const effects = step(leader.state, commands, this.now as Instant, this.authority(leader));
@@ -230,7 +268,7 @@
         return;
       }
       case 'save':
-        this.soon(this.delay(), () => {
+        this.soon(this.stateDelay(), () => {
           // Every leader transaction is guarded by the leader key: a late one fails.
           if (leader.term !== this.store.term) return;
           for (const op of effect.ops) this.write(op);
@@ -262,6 +300,8 @@
         });
         return;
       case 'delete':
+        // Sent only while the right to lead is sure: a process that stood still asks again at that moment.
+        if (this.authority(leader) !== 'lead') return;
         this.soon(this.delay(), () => {
           if (this.now < this.cloudDownUntil) {
             reply({ kind: 'deleted', machines: effect.machines, ok: false });
@@ -272,8 +312,9 @@
           reply({ kind: 'deleted', machines: effect.machines, ok });
         });
         return;
-      case 'orders':
-        this.soon(this.delay(), () => {
+      case 'orders': {
+        const to = this.workers.get(effect.machine);
+        this.soon(to ? this.wire(to) : this.delay(), () => {
           const w = this.workers.get(effect.machine);
           if (!w || w.hungUntil > this.now || w.upAt > this.now || w.deafUntil > this.now) return;
           if (this.now < w.cutOffUntil && w.cutOffWith !== leader) return;
@@ -281,8 +322,9 @@
           w.term = leader.term;
           this.execute(w, effect.orders);
           const told = this.reportOf(w);
-          this.soon(this.delay(), () => leader.queue.push({ kind: 'report', report: told, ticket: null }));
+          this.soon(this.wire(w), () => leader.queue.push({ kind: 'report', report: told, ticket: null }));
         });
+      }
     }
   }
 
@@ -451,7 +493,7 @@
           this.lostAnswers += 1;
           return;
         }
-        this.soon(this.delay(), () => {
+        this.soon(this.wire(w), () => {
           // The worker gives an answer up after 4 s, and drops it if the token is old or the session over.
           if (w.gone || w.awaiting !== sent || this.now - sent.sentAt > 4000) return;
           if (this.now < w.hungUntil || this.now < w.deafUntil) return;
@@ -465,7 +507,7 @@
       });
       to.queue.push({ kind: 'report', report: told, ticket: ticket as Ticket });
     };
-    this.soon(this.delay(), () => deliver(first));
+    this.soon(this.wire(w), () => deliver(first));
     // Copies that the network held back reach whoever leads by then, also of machines that are long gone, of earlier
     // sessions, and well over a lease late; a new leader may see a machine first by such a copy.
     if (this.chance(5) && !cut)
@@ -526,7 +568,7 @@
   private trouble(): void {
     const all = [...this.workers.values()];
     const w = all.length > 0 ? all[this.int(0, all.length - 1)]! : null;
-    switch (this.int(1, 9)) {
+    switch (this.int(1, 13)) {
       case 1:
       case 2: {
         // The leader loses its lease, by a crash or unnoticed; the next comes when it has surely run out.
@@ -574,14 +616,39 @@
         w.deafUntil = this.now + this.int(3000, 60_000);
         return;
       case 8:
-        // A machine back within a fraction of a second: its worker starts anew, with a later session.
-        if (!w || this.now < w.upAt) return;
-        w.session += 1;
-        w.tasks = [];
-        w.awaiting = null;
-        w.upAt = this.now + this.int(50, 900);
-        w.leaseFrom = w.upAt;
-        w.dueAt = w.upAt;
+        if (w) this.restart(w);
+        return;
+      case 9:
+        this.crowd();
+        return;
+      case 10: {
+        // The leader stands still, for seconds or well over its right to lead; then it goes on with what had come in.
+        const leader = this.leader();
+        if (!leader) return;
+        this.freezes += 1;
+        leader.alive = false;
+        leader.frozenUntil = this.now + this.int(1000, 30_000);
+        this.soon(Math.max(0, leader.validUntil - this.now) + this.int(10, 4000), () => {
+          if (!this.leader()) this.elect();
+        });
+        return;
+      }
+      case 11:
+        // Every controller ends, and all that was on its way to them is lost with them.
+        this.blackouts += 1;
+        this.leaders = [];
+        this.soon(this.int(3000, 9000), () => {
+          if (!this.leader()) this.elect();
+        });
+        return;
+      case 12:
+        if (this.chance(50)) {
+          this.outages += 1;
+          this.stateDownUntil = this.now + this.int(2000, 25_000);
+        } else {
+          this.slowSpells += 1;
+          this.stateSlowUntil = this.now + this.int(5000, 30_000);
+        }
         return;
       default: {
         const leader = this.leader();
@@ -593,6 +660,33 @@
     }
   }
 
+  /** A good third of the machines at once. */
+  private crowd(): void {
+    const kinds = Object.keys(this.crowds) as (keyof SimulatedWorld['crowds'])[];
+    const kind = kinds[this.int(0, kinds.length - 1)]!;
+    this.crowds[kind] += 1;
+    const until = this.now + this.int(3000, 45_000);
+    for (const w of [...this.workers.values()]) {
+      if (!this.chance(45)) continue;
+      if (kind === 'gone') this.takeAway(w.id);
+      else if (kind === 'hung') w.hungUntil = until;
+      else if (kind === 'held') w.heldUntil = until;
+      else if (kind === 'noticed' && w.spot) w.noticeAt = this.now + this.int(500, 10_000);
+      else if (kind === 'restarted') this.restart(w);
+    }
+  }
+
+  /** A machine back within a fraction of a second: its worker starts anew, with a later session. */
+  private restart(w: Worker): void {
+    if (this.now < w.upAt) return;
+    w.session += 1;
+    w.tasks = [];
+    w.awaiting = null;
+    w.upAt = this.now + this.int(50, 900);
+    w.leaseFrom = w.upAt;
+    w.dueAt = w.upAt;
+  }
+
   /** Plays `ms` milliseconds; with `calm`, no new jobs and no new troubles. */
   play(ms: number, calm: boolean): void {
     const STEP = 50;
@@ -608,7 +702,11 @@
       this.messages = this.messages.filter((m) => m.at > this.now);
       for (const m of due) m.act();
       const leader = this.leader();
-      if (leader && leader.validUntil - this.now < 2000) leader.validUntil = this.now + 3000;
+      // A lease counts from before its renewal was sent; in an outage none is renewed, and after it all are.
+      const slow = this.now < this.stateSlowUntil ? 1500 : 0;
+      const up = this.now >= this.stateDownUntil;
+      if (leader && up && leader.validUntil - this.now < 2000 - slow)
+        leader.validUntil = this.now + 3000 - slow;
       for (const l of [...this.leaders]) {
         if (this.now % 250 === 0) l.queue.push({ kind: 'tick' });
         this.runLeader(l);
@@ -629,7 +727,10 @@
       w.sick = false;
       w.hungUntil = 0;
       w.deafUntil = 0;
+      w.heldUntil = 0;
     }
+    this.stateDownUntil = 0;
+    this.stateSlowUntil = 0;
     if (!this.leader()) this.elect();
   }
 }
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -9,7 +9,9 @@
     let copies = 0;
     let deaf = 0;
     let quick = 0;
-    const seeds = [...Array.from({ length: 60 }, (_, i) => i + 1), 1192, 1370, 1410, 1670, 1729];
+    const crowds: Record<string, number> = {};
+    const controllers = { freezes: 0, blackouts: 0, outages: 0, slowSpells: 0 };
+    const seeds = [...Array.from({ length: 100 }, (_, i) => i + 1), 1192, 1370, 1410, 1670, 1729];
     for (const seed of seeds) {
       const world = new SimulatedWorld(seed);
       world.play(150_000, false);
@@ -20,6 +22,9 @@
       copies += world.copies;
       deaf += world.deafSpells;
       quick += world.quickReturns;
+      for (const [kind, n] of Object.entries(world.crowds)) crowds[kind] = (crowds[kind] ?? 0) + n;
+      for (const kind of Object.keys(controllers) as (keyof typeof controllers)[])
+        controllers[kind] += world[kind];
     }
     // What the histories must have contained for the check to mean something.
     expect(starts).toBeGreaterThan(5000);
@@ -28,6 +33,10 @@
     expect(copies).toBeGreaterThan(300);
     expect(deaf).toBeGreaterThan(100);
     expect(quick).toBeGreaterThan(50);
+    expect(Object.keys(crowds)).toHaveLength(5);
+    for (const [kind, n] of [...Object.entries(crowds), ...Object.entries(controllers)]) {
+      expect(n, kind).toBeGreaterThan(15);
+    }
   });
 
   it('leave no job behind once the troubles are over', () => {
