Rounds: one pass over the rooms per job, counted at 990 machines

Cause: a test that counts what a round looks at (machines' images and placements) saw it grow four times when the fleet doubled: filling one machine after the other, each new machine was searched for among all.

--- a/src/core/backfill.ts
+++ b/src/core/backfill.ts
@@ -122,19 +122,25 @@
   return Math.max(end, now + Math.max(1000, estimate / 4));
 };
 
-const bestRoom = (job: Job, rooms: readonly Room[], allowed: (room: Room) => boolean): Room | null => {
-  let best: Room | null = null;
-  for (const room of rooms) {
-    if (best && morePowerful(best, room) < 0) break;
-    if (!fitsNow(job, room) || !mayUseMachine(job, room.machine) || !zoneAllows(job, room.machine)) continue;
-    if (!allowed(room)) continue;
-    // Among equals one that has the image starts sooner.
-    if (!best || (!best.machine.images.has(job.spec.image) && room.machine.images.has(job.spec.image)))
-      best = room;
-    if (best.machine.images.has(job.spec.image)) break;
+/**
+ * The rooms for a job's tasks, best first: the most powerful, and among equals those that have the image, since a task starts
+ * sooner there. While one job is placed rooms only fill up, so that one that was passed over need not be looked at again:
+ * the work of a round follows the rooms and not rooms times tasks.
+ */
+function* candidates(job: Job, rooms: readonly Room[]): Generator<Room> {
+  let next = 0;
+  while (next < rooms.length) {
+    const first = rooms[next]!;
+    const without: Room[] = [];
+    for (; next < rooms.length && morePowerful(first, rooms[next]!) === 0; next += 1) {
+      const room = rooms[next]!;
+      if (!fitsNow(job, room) || !mayUseMachine(job, room.machine)) continue;
+      if (room.machine.images.has(job.spec.image)) yield room;
+      else without.push(room);
+    }
+    yield* without;
   }
-  return best;
-};
+}
 
 /** A job with one zone starts where most of it fits. */
 const chooseZone = (job: Job, rooms: readonly Room[]): string | null => {
@@ -250,24 +256,25 @@
   const placed: Placement[] = [];
   const zone = chooseZone(job, rooms);
   const suspect = job.failedOn.size >= SUSPECT_MACHINES;
-  let last: Room | null = null;
+  let reserved = false;
+  const allowed = (r: Room): boolean => {
+    if (zone !== null && r.machine.zone !== zone) return false;
+    if (shadowAt === 0 || fitsShadow(job, r)) return true;
+    if (now + job.spec.estimateS * 1000 + fetchMs(job, r) <= shadowAt) return true;
+    reserved = true;
+    return false;
+  };
+  const usableNow = (r: Room) => fitsNow(job, r) && zoneAllows(job, r.machine) && allowed(r);
+  const order = candidates(job, rooms);
+  let room: Room | null = null;
   while (job.pending > 0 && placed.length < most) {
     if (suspect && job.held.size > 0) return { placed, blockedBy: 'its tasks fail on every machine' };
     if (teamRoom(state, job) < 1) return { placed, blockedBy: TEAM_LIMIT };
-    let reserved = false;
-    const allowed = (r: Room): boolean => {
-      if (zone !== null && r.machine.zone !== zone) return false;
-      if (shadowAt === 0 || fitsShadow(job, r)) return true;
-      if (now + job.spec.estimateS * 1000 + fetchMs(job, r) <= shadowAt) return true;
-      reserved = true;
-      return false;
-    };
-    // The room of the task before is the best one for as long as it has room: it is the first with the image.
-    const again: boolean =
-      last !== null && fitsNow(job, last) && zoneAllows(job, last.machine) && allowed(last);
-    const room: Room | null = again ? last : bestRoom(job, rooms, allowed);
-    last = room;
-    if (!room) return { placed, blockedBy: reserved ? 'room reserved for the head' : NO_MACHINE };
+    while (!room || !usableNow(room)) {
+      const next: IteratorResult<Room> = order.next();
+      if (next.done) return { placed, blockedBy: reserved ? 'room reserved for the head' : NO_MACHINE };
+      room = next.value;
+    }
     const outlasts = shadowAt === 0 || now + job.spec.estimateS * 1000 + fetchMs(job, room) > shadowAt;
     const placement = place(state, job, room, now);
     if (!placement) return { placed, blockedBy: 'no attempt number left' };
--- a/test/backfill.test.ts
+++ b/test/backfill.test.ts
@@ -60,66 +60,74 @@
   head: fc.option(fc.nat(7)),
 });
 
+type DrawnWorld = typeof drawnWorld extends fc.Arbitrary<infer T> ? T : never;
+
+/** The same world for the real round and for the plain one. */
+const worldOf = (drawn: DrawnWorld, blue = 24, green = 10) => {
+  const limits = { blue: { cpus: blue, gpus: 4 }, green: { cpus: green, gpus: 1 } };
+  const teams = [team('blue', blue, 4), team('green', green, 1)];
+  const state = core({ teams: new Map(teams.map((t) => [t.name, t])) });
+  for (const t of TYPES) state.types.set(t.name, t);
+  const world: PlainWorld = {
+    now: NOW,
+    ...DEFAULT_POLICY,
+    jobs: [],
+    kinds: [{ type: 'gpu', gpus: 2 }],
+    machines: [],
+    runs: [],
+    limits,
+    head: drawn.head === null ? null : `job-${drawn.head}`,
+  };
+  state.head = world.head as never;
+  drawn.jobs.forEach(({ age, ...rest }, i) => {
+    const submittedAt = NOW - age * 1000;
+    world.jobs.push({ id: `job-${i}`, submittedAt, level: PRIORITY_LEVEL[rest.priority], ...rest });
+    const spec = job(`job-${i}`, { ...rest, image: `img-${i}` });
+    state.jobs.set(spec.id, newJob(spec, submittedAt as Instant));
+  });
+  drawn.machines.forEach((m, i) => {
+    const t = TYPES.find((x) => x.name === m.type)!;
+    const id = `n-${i}`;
+    world.machines.push({ id, ...m, cpus: t.cpus, gpus: t.gpus, memoryGb: t.memoryGb });
+    const at = { endpoint: '', type: m.type as TypeName, zone: m.zone as ZoneName, spot: m.spot };
+    const made = newMachine(id as MachineId, at, 0 as Instant, 0 as Instant);
+    made.ready = true;
+    state.machines.set(made.id, made);
+  });
+  drawn.running.forEach((r, i) => {
+    const j = [...state.jobs.values()][r.job % state.jobs.size]!;
+    const m = [...state.machines.values()][r.machine % state.machines.size]!;
+    const index = takePending(j);
+    if (index === null) return;
+    const startedAt = (NOW - r.startedAgo * 1000) as Instant;
+    const { id, team: owner, cpus, gpus, memoryGb, estimateS } = j.spec;
+    const p: Placement = {
+      entry: { job: id, index, attempt: (i + 1) as Attempt, team: owner, cpus, gpus, memoryGb },
+      machine: m,
+      job: j,
+      placedAt: startedAt,
+      phase: 'running',
+      startedAt,
+      sentIn: null,
+      kill: null,
+      needs: null,
+      segment: null,
+    };
+    hold(state, p);
+    m.images.add(j.spec.image);
+    const end = Math.max(startedAt + estimateS * 1000, NOW + Math.max(1000, (estimateS * 1000) / 4));
+    world.runs.push({ job: id, machine: m.id, end });
+  });
+  return { state, world };
+};
+
 describe('a round', () => {
   it('starts what the plain model starts, on the same machines, around the same head', () => {
     let starts = 0;
     let reservations = 0;
     fc.assert(
       fc.property(drawnWorld, (drawn) => {
-        const limits = { blue: { cpus: 24, gpus: 4 }, green: { cpus: 10, gpus: 1 } };
-        const teams = [team('blue', 24, 4), team('green', 10, 1)];
-        const state = core({ teams: new Map(teams.map((t) => [t.name, t])) });
-        for (const t of TYPES) state.types.set(t.name, t);
-        const world: PlainWorld = {
-          now: NOW,
-          ...DEFAULT_POLICY,
-          jobs: [],
-          kinds: [{ type: 'gpu', gpus: 2 }],
-          machines: [],
-          runs: [],
-          limits,
-          head: drawn.head === null ? null : `job-${drawn.head}`,
-        };
-        state.head = world.head as never;
-        drawn.jobs.forEach(({ age, ...rest }, i) => {
-          const submittedAt = NOW - age * 1000;
-          world.jobs.push({ id: `job-${i}`, submittedAt, level: PRIORITY_LEVEL[rest.priority], ...rest });
-          const spec = job(`job-${i}`, { ...rest, image: `img-${i}` });
-          state.jobs.set(spec.id, newJob(spec, submittedAt as Instant));
-        });
-        drawn.machines.forEach((m, i) => {
-          const t = TYPES.find((x) => x.name === m.type)!;
-          const id = `n-${i}`;
-          world.machines.push({ id, ...m, cpus: t.cpus, gpus: t.gpus, memoryGb: t.memoryGb });
-          const at = { endpoint: '', type: m.type as TypeName, zone: m.zone as ZoneName, spot: m.spot };
-          const made = newMachine(id as MachineId, at, 0 as Instant, 0 as Instant);
-          made.ready = true;
-          state.machines.set(made.id, made);
-        });
-        drawn.running.forEach((r, i) => {
-          const j = [...state.jobs.values()][r.job % state.jobs.size]!;
-          const m = [...state.machines.values()][r.machine % state.machines.size]!;
-          const index = takePending(j);
-          if (index === null) return;
-          const startedAt = (NOW - r.startedAgo * 1000) as Instant;
-          const { id, team: owner, cpus, gpus, memoryGb, estimateS } = j.spec;
-          const p: Placement = {
-            entry: { job: id, index, attempt: (i + 1) as Attempt, team: owner, cpus, gpus, memoryGb },
-            machine: m,
-            job: j,
-            placedAt: startedAt,
-            phase: 'running',
-            startedAt,
-            sentIn: null,
-            kill: null,
-            needs: null,
-            segment: null,
-          };
-          hold(state, p);
-          m.images.add(j.spec.image);
-          const end = Math.max(startedAt + estimateS * 1000, NOW + Math.max(1000, (estimateS * 1000) / 4));
-          world.runs.push({ job: id, machine: m.id, end });
-        });
+        const { state, world } = worldOf(drawn);
         const plain = plainRound(world);
         const real = runRound(state, NOW as Instant);
         const placed = real.placed.map((p) => `${p.entry.job}@${p.machine.id}`);
@@ -135,6 +143,72 @@
     expect(reservations).toBeGreaterThan(100);
   });
 
+  /** A fleet that is mostly busy, with more waiting than fits; what a round looks at is counted. */
+  const fleet = (machines: number, jobs: number, largest: number, running: number) => {
+    const kinds = ['small', 'big', 'big'];
+    const drawn: DrawnWorld = {
+      jobs: Array.from({ length: jobs }, (_, i) => ({
+        age: (i * 37) % 300,
+        priority: (['critical', 'best_effort', 'standard'] as const)[i % 3]!,
+        team: i % 2 ? 'green' : 'blue',
+        tasks: i === 0 ? largest : 1 + ((i * 7) % 50),
+        cpus: i % 3 === 1 ? 4 : 1,
+        gpus: 0,
+        memoryGb: 1,
+        types: null,
+        zone: null,
+        oneZone: false,
+        scatter: false,
+        spotOk: true,
+        estimateS: 10 + ((i * 13) % 60),
+        deadlineS: i % 3 === 0 ? 60 : null,
+      })),
+      machines: Array.from({ length: machines }, (_, i) => ({
+        type: kinds[i % 3]!,
+        zone: i % 2 ? 'a' : 'b',
+        spot: i % 9 !== 0,
+      })),
+      running: Array.from({ length: running }, (_, i) => ({ job: i, machine: i, startedAgo: i % 30 })),
+      head: 0,
+    };
+    const { state, world } = worldOf(drawn, machines * 5, machines * 4);
+    let looked = 0;
+    for (const m of state.machines.values()) {
+      const { images, placements } = m;
+      const has = images.has.bind(images);
+      images.has = (image) => {
+        looked += 1;
+        return has(image);
+      };
+      const values = placements.values.bind(placements);
+      placements.values = () => {
+        looked += placements.size;
+        return values();
+      };
+    }
+    return { state, world, looked: () => looked };
+  };
+
+  it('decides as the plain model on a fleet of 990 machines', () => {
+    const { state, world } = fleet(990, 6, 40, 60);
+    const plain = plainRound(world);
+    const real = runRound(state, NOW as Instant);
+    expect(real.placed.map((p) => `${p.entry.job}@${p.machine.id}`)).toEqual(plain.starts);
+    expect(real.placed.length).toBeGreaterThan(50);
+  });
+
+  it('does work that grows with the fleet, not with its square', () => {
+    // The head has more than ever fits, so that it reserves.
+    const once = fleet(990, 200, 5000, 2970);
+    const twice = fleet(1980, 400, 10_000, 5940);
+    const placed = [once, twice].map(({ state }) => runRound(state, NOW as Instant).placed.length);
+    expect(Math.min(...placed)).toBeGreaterThan(1000);
+    for (const { state } of [once, twice]) expect(state.shadowAt).not.toBeNull();
+    expect(twice.looked()).toBeLessThan(2.6 * once.looked());
+    // Far from every waiting task with every machine.
+    expect(once.looked()).toBeLessThan(60 * 990);
+  });
+
   it('keeps the head at the top until it has started, whatever arrives', () => {
     const state = core();
     state.types.set('c8' as TypeName, type('c8'));
