A node that starts while the cloud hangs reads the machine types from the state service and serves

Cause: it waited for both answers, up to 6 s for a cloud that does not answer, and /up said 503 meanwhile. Whichever comes first counts now. The test fails with the former code (6 s, the cloud's request given up).

--- a/src/service/controller.ts
+++ b/src/service/controller.ts
@@ -11,6 +11,7 @@
   Authority,
   Instant,
   JobId,
+  MachineType,
   NodeId,
   Order,
   Policy,
@@ -127,19 +128,32 @@
     was?.stop();
   }
 
-  /** Every node needs the machine types to judge submissions: from the state service, else the cloud. */
+  /**
+   * Every node needs the machine types to judge submissions: from the state service or the cloud, whichever answers first,
+   * so that a node that starts while one of them is away need not wait for it.
+   */
   private async readTypes(): Promise<void> {
-    while (!this.stopped && !this.parts.types) {
-      const [stored, fresh] = await Promise.all([this.parts.state.get(TYPES_KEY), this.parts.cloud.types()]);
-      this.parts.types ??= fresh ?? (typeof stored === 'object' ? readTypes(stored.value) : null);
-      if (fresh && stored === 'absent') {
-        await this.parts.state.txn(
+    const { parts } = this;
+    const use = (types: readonly MachineType[]) => {
+      parts.types = types;
+      this.leading?.owner.submit({ kind: 'types', types });
+    };
+    while (!this.stopped && !parts.types) {
+      const stored = parts.state.get(TYPES_KEY).then((item) => {
+        const types = typeof item === 'object' ? readTypes(item.value) : null;
+        if (types && !parts.types) use(types);
+        return item;
+      });
+      const fresh = await parts.cloud.types();
+      if (fresh) use(fresh);
+      if (fresh && (await stored) === 'absent') {
+        await parts.state.txn(
           [{ key: TYPES_KEY, revision: 0 as Revision }],
           [{ put: TYPES_KEY, value: fresh }],
         );
       }
-      if (this.parts.types) this.leading?.owner.submit({ kind: 'types', types: this.parts.types });
-      else await sleep(this.parts.jitter.around(700));
+      await stored;
+      if (!parts.types) await sleep(parts.jitter.around(700));
     }
   }
 
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -484,6 +484,22 @@
   });
 });
 
+describe('a node that starts while the cloud hangs', () => {
+  it('takes requests as soon as it has read the machine types from the state service', async () => {
+    const { nodes, cloud, state, start } = await cluster(1);
+    await until(() => state.keys.has('c/types'));
+    nodes[0]!.stop();
+    cloud.silent = true;
+    const again = start(0);
+    await until(async () => (await post(again.at, '/up', undefined, 'GET'))?.status === 200);
+    // The cloud has been asked, and its answer still stands out: no request to it has been given up yet.
+    expect(cloud.unanswered).toBeGreaterThan(0);
+    expect(cloud.givenUp).toBe(0);
+    expect((await post(again.at, '/api/jobs', body('job-1')))?.status).toBe(201);
+    expect((await post(again.at, '/api/jobs', body('job-2', { Crew: 'nobody' })))?.status).toBe(422);
+  });
+});
+
 describe('direct orders', () => {
   it('to many machines at once, as when a large job is cancelled, do not cut one another off', async () => {
     const count = 90;
--- a/test/stand-ins/cloud.ts
+++ b/test/stand-ins/cloud.ts
@@ -125,6 +125,10 @@
   nodes: string[] = [];
   names: string[] = [];
   taskMs = 20;
+  /** Takes requests and never answers them; how many came, and how many of them were given up. */
+  silent = false;
+  unanswered = 0;
+  givenUp = 0;
   readonly starts: string[] = [];
   readonly workers = new Map<string, Worker>();
   readonly hires = new Map<string, string[]>();
@@ -150,6 +154,11 @@
 
   private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const body = await readJson(req);
+    if (this.silent) {
+      this.unanswered += 1;
+      res.on('close', () => (this.givenUp += 1));
+      return;
+    }
     const path = (req.url ?? '').split('?')[0];
     if (path === '/machine_types') {
       const Hulls = [
