Many silent machines get two leases to come back, and none gets work meanwhile

Now more than a twentieth of the fleet (and more than two machines) that fall silent together are not replaced before two leases have passed; what they held starts elsewhere once their leases are surely over. Those that died are listed as failed after half a minute and replaced then. A machine not heard of for two report periods gets no new task until it is. Ruled out: waiting for single machines too, which mostly are taken without notice.

--- a/src/core/backfill.ts
+++ b/src/core/backfill.ts
@@ -55,7 +55,7 @@
   const rooms: Room[] = [];
   for (const machine of state.machines.values()) {
     const type = state.types.get(machine.type);
-    if (!type || !usable(machine, now)) continue;
+    if (!type || !usable(state, machine, now)) continue;
     const cpus = type.cpus - machine.usedCpus;
     const gpus = type.gpus - machine.usedGpus;
     const memoryGb = type.memoryGb - machine.usedMemoryGb;
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -25,6 +25,8 @@
 /** Requests under way at once; the cloud's rate is shared with lists and deletions. */
 const RENT_AT_ONCE = 4;
 const DELETE_MAX = 100;
+/** More silent machines than this share of the fleet are not replaced at once. */
+const MANY_SHARE = 0.05;
 const RENT_ANSWER_MS = 15_000 as Millis;
 
 export const setTypes = (state: CoreState, types: readonly MachineType[]): void => {
@@ -169,8 +171,9 @@
     // Counted early: of machines that all fall silent within a report period, none must be the first to be deleted.
     if (now - m.lastSeen > limit / 2) silent += 1;
   }
-  // When most fall silent at once the fault is more likely ours: give them time to come back.
-  const many = silent > 2 && silent * 2 > seen;
+  // Many at once are more likely cut off or hanging than dead, or the fault is ours: they get time to come back, since a
+  // replacement has to boot first. Those that died are listed as failed meanwhile.
+  const many = silent > Math.max(2, seen * MANY_SHARE);
   for (const m of state.machines.values()) {
     const quiet = now - m.lastSeen;
     const waits = m.everSeen || m.placements.size > 0;
@@ -178,7 +181,8 @@
       m.lostAt = now;
       m.lostWhy = 'silent';
     }
-    if (m.lostAt !== null && m.placements.size > 0 && now > leaseSurelyOver(state, m)) {
+    // What it held has ended with its lease, whether it comes back or not.
+    if (m.placements.size > 0 && now > leaseSurelyOver(state, m)) {
       for (const p of [...m.placements.values()]) {
         release(state, p, now);
         m.placements.delete(p.entry.attempt);
--- a/src/core/orders.ts
+++ b/src/core/orders.ts
@@ -74,7 +74,7 @@
       for (const p of m.placements.values()) waits ||= p.phase === 'entering';
       if (waits) continue;
     }
-    if (authority === 'lead' && m.placements.size === 0 && usable(m, now) && now - since < idleHoldMs)
+    if (authority === 'lead' && m.placements.size === 0 && usable(state, m, now) && now - since < idleHoldMs)
       continue;
     m.ticket = null;
     state.waiting.delete(m);
--- a/src/core/reports.ts
+++ b/src/core/reports.ts
@@ -5,6 +5,7 @@
 import {
   type CoreState,
   hold,
+  isQuiet,
   type Machine,
   newMachine,
   occupies,
@@ -205,7 +206,10 @@
   m.session = report.session;
   m.seq = report.seq;
   m.everSeen = true;
-  if (ticket !== null) m.lastSeen = now;
+  if (ticket !== null) {
+    if (isQuiet(state, m, now)) state.placementDue = true;
+    m.lastSeen = now;
+  }
   if (m.lostAt !== null && !m.deleting && !(m.draining && m.placements.size === 0)) {
     m.lostAt = null;
     m.lostWhy = '';
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -455,8 +455,15 @@
 /** Answers that went unheard in a row after which a machine gets no more work. */
 export const UNHEARD_STOPS = 2;
 
-export const usable = (m: Machine, now: Instant): boolean =>
+/** Without a word for this many report periods a machine gets no more work: it would only wait there. */
+const QUIET_REPORTS = 2;
+
+export const isQuiet = (state: CoreState, m: Machine, now: Instant): boolean =>
+  now - m.lastSeen > QUIET_REPORTS * state.config.reportMs;
+
+export const usable = (state: CoreState, m: Machine, now: Instant): boolean =>
   m.ready &&
+  !isQuiet(state, m, now) &&
   !m.deaf &&
   now >= m.shunUntil &&
   !m.draining &&
--- a/test/backfill.test.ts
+++ b/test/backfill.test.ts
@@ -90,7 +90,7 @@
     const id = `n-${i}`;
     world.machines.push({ id, ...m, cpus: t.cpus, gpus: t.gpus, memoryGb: t.memoryGb });
     const at = { endpoint: '', type: m.type as TypeName, zone: m.zone as ZoneName, spot: m.spot };
-    const made = newMachine(id as MachineId, at, 0 as Instant, 0 as Instant);
+    const made = newMachine(id as MachineId, at, 0 as Instant, NOW as Instant);
     made.ready = true;
     state.machines.set(made.id, made);
   });
@@ -243,6 +243,7 @@
       state.types.set('c8' as TypeName, type('c8'));
       const m = newMachine('n-1' as MachineId, at, 0 as Instant, 0 as Instant);
       m.ready = true;
+      m.lastSeen = 64_000 as Instant;
       state.machines.set(m.id, m);
       const sweep = job('job-1', { priority: 'best_effort', tasks: 4, cpus: 2, estimateS: 500, ...victim });
       state.jobs.set(sweep.id, newJob(sweep, 0 as Instant));
--- /dev/null
+++ b/test/ledger.test.ts
@@ -0,0 +1,135 @@
+/** The placement ledger: what it holds, and what becomes of it. */
+import { describe, expect, it } from 'vitest';
+import { segmentKey } from '../src/core/state.js';
+import { step } from '../src/core/step.js';
+import type {
+  Command,
+  Effect,
+  Instant,
+  JobId,
+  LedgerEntry,
+  MachineId,
+  SaveOp,
+  TeamName,
+  Term,
+  Ticket,
+} from '../src/core/types.js';
+import { readSegment, writeSegment } from '../src/service/records.js';
+import { core, job, report, task, team, type } from './model/build.js';
+import { ended, running, Story } from './model/story.js';
+
+const entry = (index: number, attempt: number, id = 'job-1') =>
+  ({ job: id, index, attempt, team: 'blue', cpus: 1, gpus: 0, memoryGb: 1 }) as unknown as LedgerEntry;
+const at = { type: 'c8', zone: 'a', spot: false } as never;
+
+describe('the placement ledger', () => {
+  const saves = (effects: readonly Effect[]): SaveOp[] =>
+    effects.flatMap((e) => (e.kind === 'save' ? [...e.ops] : []));
+
+  it('enters the starts of many machines with few changes, each record within a value', () => {
+    const s = new Story(
+      core({ valueBytes: 2048, teams: new Map([['blue' as TeamName, team('blue', 800)]]) }),
+    );
+    const ids = Array.from({ length: 60 }, (_, i) => `n-${i}`);
+    for (const [seq, term] of [
+      [1, 6],
+      [2, 7],
+    ] as const) {
+      for (const [i, id] of ids.entries()) {
+        s.send({ kind: 'report', report: report(id, seq, term), ticket: (seq * 100 + i) as Ticket });
+      }
+      s.pass(2000);
+    }
+    s.effects = [];
+    s.submit('job-1', { tasks: 480 });
+    s.pass(1000);
+    const records = saves(s.effects).filter((op) => op.kind === 'segment');
+    expect(records.flatMap((r) => r.machines.flatMap((m) => m.entries)).length).toBe(480);
+    expect(records.length).toBeLessThan(16);
+    for (const r of records) expect(JSON.stringify(writeSegment(r)).length).toBeLessThanOrEqual(2048);
+  });
+
+  it('is read back as it was written, and a record that was not is refused whole', () => {
+    const given = {
+      machines: [{ machine: 'n-1' as MachineId, at, entries: [entry(0, 5), entry(3, 6, 'job-2')] }],
+      progress: [{ job: 'job-1' as JobId, chunk: 0, bits: Uint8Array.of(5, 1) }],
+    };
+    const text = JSON.stringify(writeSegment(given));
+    expect(readSegment(JSON.parse(text))).toEqual(given);
+    const odd = [null, 7, [], {}, { j: [], m: [], d: [['job-1', -1, '']] }];
+    odd.push({ ...JSON.parse(text), j: [] } as never, { ...JSON.parse(text), m: [['n-1']] } as never);
+    for (const value of odd) expect(readSegment(value)).toBeNull();
+  });
+
+  it('starts nothing before every lease is surely over when a record cannot be read', () => {
+    const s = new Story();
+    const state = core();
+    const send = (now: number, ...commands: Command[]) => step(state, commands, now as Instant, 'lead');
+    send(
+      0,
+      { kind: 'types', types: [type('c8')] },
+      { kind: 'unreadable', segment: segmentKey(6 as Term, 1) },
+    );
+    send(0, { kind: 'job', spec: job('job-1'), submittedAt: 0 as Instant }, { kind: 'loaded' });
+    const starts: number[] = [];
+    let seq = 0;
+    let dropped = 0;
+    for (let now = 500; now < 40_000; now += 500) {
+      seq += 1;
+      const told = report('n-1', seq, seq < 3 ? 6 : 7, []);
+      for (const e of send(now, { kind: 'report', report: told, ticket: seq as Ticket })) {
+        if (e.kind === 'save') {
+          dropped += e.ops.filter((op) => op.kind === 'segment-gone').length;
+          send(now, { kind: 'saved', batch: e.batch });
+        }
+        if (e.kind === 'answer') starts.push(...s.starts(e.orders).map(() => now));
+      }
+    }
+    // keep-alive 10 s, lease 16 s, and the margins of both.
+    expect(Math.min(...starts)).toBeGreaterThan(26_000);
+    expect(dropped).toBe(1);
+  });
+
+  it('keeps few records while a few long tasks outlive many short ones', () => {
+    const s = new Story();
+    const records = new Set<string>();
+    for (const id of ['n-1', 'n-2']) s.up(id);
+    s.submit('job-999', { tasks: 1, estimateS: 9999 });
+    const held = new Map<string, ReturnType<Story['starts']>>([
+      ['n-1', []],
+      ['n-2', []],
+    ]);
+    for (let i = 0; i < 60; i += 1) {
+      s.submit(`job-${i}`, { tasks: 6 });
+      for (const [id, now] of held) {
+        const told = now.map((o) => (o.job === 'job-999' ? running(o) : ended(o, 'done')));
+        const orders = s.checkIn(id, told) ?? [];
+        held.set(id, [...now.filter((o) => o.job === 'job-999'), ...s.starts(orders)]);
+      }
+      s.pass(500);
+    }
+    for (const op of saves(s.effects)) {
+      if (op.kind === 'segment') records.add(op.key);
+      if (op.kind === 'segment-gone') records.delete(op.key);
+    }
+    expect(records.size).toBeLessThan(15);
+    // Whoever reads what is left learns of the long task.
+    expect(s.state.jobs.get('job-999' as JobId)?.held.size).toBe(1);
+    const p = [...s.state.jobs.get('job-999' as JobId)!.held.values()][0]![0]!;
+    expect(records.has(p.segment!.key)).toBe(true);
+  });
+});
+
+describe('a task’s state in a report', () => {
+  it('of an attempt that this leader never gave is recorded, so that the next leader knows of it', () => {
+    const s = new Story();
+    s.submit('job-1', { tasks: 1 });
+    s.pass(100);
+    const odd = task('job-1', 0, 123);
+    s.checkIn('n-9', [odd]);
+    s.pass(500);
+    const ops = s.effects.flatMap((e) => (e.kind === 'save' ? [...e.ops] : []));
+    const rows = ops.flatMap((op) => (op.kind === 'segment' ? op.machines : []));
+    expect(rows.find((r) => r.machine === 'n-9')?.entries).toMatchObject([{ attempt: 123 }]);
+  });
+});
