--- a/test/late-copies.test.ts
+++ b/test/late-copies.test.ts
@@ -7,18 +7,14 @@
   Effect,
   Instant,
   JobId,
-  LedgerEntry,
   MachineId,
   TeamName,
   Term,
   Ticket,
 } from '../src/core/types.js';
-import { core, job, report, type } from './model/build.js';
+import { core, entry, job, recordedAt, report, type } from './model/build.js';
 import { running, Story } from './model/story.js';
 
-const entry = (index: number, attempt: number, id = 'job-1') =>
-  ({ job: id, index, attempt, team: 'blue', cpus: 1, gpus: 0, memoryGb: 1 }) as unknown as LedgerEntry;
-const at = { type: 'c8', zone: 'a', spot: false } as never;
 const asked = (effects: readonly Effect[], id: string) =>
   effects.some((e) => e.kind === 'delete' && e.machines.includes(id as MachineId));
 
@@ -55,7 +51,13 @@
       0,
       { kind: 'types', types: [type('c8')] },
       { kind: 'job', spec: job('job-1', { tasks: 2 }), submittedAt: 0 as Instant },
-      { kind: 'ledger', segment, machine: 'n-1' as MachineId, at, entries: [entry(0, 5), entry(1, 6)] },
+      {
+        kind: 'ledger',
+        segment,
+        machine: 'n-1' as MachineId,
+        at: recordedAt,
+        entries: [entry(0, 5), entry(1, 6)],
+      },
       { kind: 'loaded' },
     );
     send(1000, { kind: 'report', report: report('n-1', 1, 6, []), ticket: 1 as Ticket });
--- a/test/ledger.test.ts
+++ b/test/ledger.test.ts
@@ -7,7 +7,6 @@
   Effect,
   Instant,
   JobId,
-  LedgerEntry,
   MachineId,
   SaveOp,
   TeamName,
@@ -15,13 +14,9 @@
   Ticket,
 } from '../src/core/types.js';
 import { readSegment, writeSegment } from '../src/service/records.js';
-import { core, job, report, task, team, type } from './model/build.js';
+import { core, entry, job, recordedAt, report, task, team, type } from './model/build.js';
 import { ended, running, Story } from './model/story.js';
 
-const entry = (index: number, attempt: number, id = 'job-1') =>
-  ({ job: id, index, attempt, team: 'blue', cpus: 1, gpus: 0, memoryGb: 1 }) as unknown as LedgerEntry;
-const at = { type: 'c8', zone: 'a', spot: false } as never;
-
 describe('the placement ledger', () => {
   const saves = (effects: readonly Effect[]): SaveOp[] =>
     effects.flatMap((e) => (e.kind === 'save' ? [...e.ops] : []));
@@ -51,7 +46,9 @@
 
   it('is read back as it was written, and a record that was not is refused whole', () => {
     const given = {
-      machines: [{ machine: 'n-1' as MachineId, at, entries: [entry(0, 5), entry(3, 6, 'job-2')] }],
+      machines: [
+        { machine: 'n-1' as MachineId, at: recordedAt, entries: [entry(0, 5), entry(3, 6, 'job-2')] },
+      ],
       progress: [{ job: 'job-1' as JobId, chunk: 0, bits: Uint8Array.of(5, 1) }],
     };
     const text = JSON.stringify(writeSegment(given));
--- a/test/model/build.ts
+++ b/test/model/build.ts
@@ -6,6 +6,8 @@
   Instant,
   JobId,
   JobSpec,
+  LedgerEntry,
+  LedgerMachine,
   MachineId,
   MachineType,
   Millis,
@@ -116,3 +118,9 @@
   tasks,
   ...change,
 });
+
+/** A row of a ledger record. */
+export const entry = (index: number, attempt: number, id = 'job-1') =>
+  ({ job: id, index, attempt, team: 'blue', cpus: 1, gpus: 0, memoryGb: 1 }) as unknown as LedgerEntry;
+/** What a ledger record says of a machine. */
+export const recordedAt = { type: 'c8', zone: 'a', spot: false } as unknown as LedgerMachine;
--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -2,14 +2,10 @@
 import { describe, expect, it } from 'vitest';
 import { segmentKey } from '../src/core/state.js';
 import { step } from '../src/core/step.js';
-import type { Command, Instant, LedgerEntry, MachineId, Term, Ticket } from '../src/core/types.js';
-import { core, job, report, type } from './model/build.js';
+import type { Command, Instant, MachineId, Term, Ticket } from '../src/core/types.js';
+import { core, entry, job, recordedAt, report, type } from './model/build.js';
 import { running, Story } from './model/story.js';
 
-const entry = (index: number, attempt: number, id = 'job-1') =>
-  ({ job: id, index, attempt, team: 'blue', cpus: 1, gpus: 0, memoryGb: 1 }) as unknown as LedgerEntry;
-const at = { type: 'c8', zone: 'a', spot: false } as never;
-
 describe('a controller that has lost the state service and its peers, but not its workers', () => {
   it('gives no orders, and a successor starts nothing twice, in time for cancelled jobs too', () => {
     const s = new Story();
@@ -28,7 +24,13 @@
       0,
       { kind: 'types', types: [type('c8')] },
       { kind: 'job', spec: job('job-1', { tasks: 2 }), submittedAt: 0 as Instant },
-      { kind: 'ledger', segment: segmentKey(7 as Term, 1), machine: 'n-1' as MachineId, at, entries },
+      {
+        kind: 'ledger',
+        segment: segmentKey(7 as Term, 1),
+        machine: 'n-1' as MachineId,
+        at: recordedAt,
+        entries,
+      },
       { kind: 'loaded' },
     );
     const { keepAliveMs, leaseMs } = next.config;
@@ -66,7 +68,7 @@
     send(0, { kind: 'types', types: [type('c8')] });
     send(0, { kind: 'job', spec: job('job-1', { tasks: 6 }), submittedAt: 0 as Instant });
     for (const [i, machine] of machines.entries()) {
-      send(0, { kind: 'ledger', segment, machine, at, entries: [entry(i, 50 + i)] });
+      send(0, { kind: 'ledger', segment, machine, at: recordedAt, entries: [entry(i, 50 + i)] });
     }
     send(0, { kind: 'loaded' });
     const deleted: number[] = [];
