--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -25,8 +25,8 @@
 /** Requests under way at once; the cloud's rate is shared with lists and deletions. */
 const RENT_AT_ONCE = 4;
 const DELETE_MAX = 100;
-/** More silent machines than this share of the fleet are not replaced at once. */
-const MANY_SHARE = 0.05;
+/** More silent machines than this share of the fleet, its usual spare room, are not replaced at once. */
+const MANY_SHARE = 0.2;
 const RENT_ANSWER_MS = 15_000 as Millis;
 
 export const setTypes = (state: CoreState, types: readonly MachineType[]): void => {
