What has waited too long is decided within a turn of the event loop

One turn of the event loop then takes seconds, and the answers, decided by a timer at its end, come after the 4 s that workers wait; they hang up and come again (1,987 of 2,020 sockets), and at 272 s their leases run out: 1,904 tasks killed, 77 s until the fleet is back. Commands that have waited for 300 ms are now decided at once, in the midst of the turn. Ruled out: the ledger (read in 1.1 s), the cap on sockets.

--- a/src/service/owner.ts
+++ b/src/service/owner.ts
@@ -10,6 +10,11 @@
 import type { Authority, Command, Effect, Instant } from '../core/types.js';
 
 const MAX_PAUSE_MS = 250;
+/**
+ * After a takeover a whole fleet reports at once, and one turn of the event loop may last for seconds, at whose end the timer of
+ * the next batch fires: too late for workers, which wait 4 s. What has waited for longer than this is decided within the turn.
+ */
+const OVERDUE_MS = 300;
 const DECISIONS_SHARE = 0.35;
 const LEAST_PAUSE_FACTOR = 2.5;
 
@@ -17,6 +22,9 @@
   private queue: Command[] = [];
   private timer: NodeJS.Timeout | null = null;
   private nextAt = 0;
+  /** When the oldest command that waits came in. */
+  private oldest: Instant | null = null;
+  private running = false;
   private stopped = false;
   private readonly pauseFactor: number;
   /** Commands wait here while a new leader still reads what the state service holds. */
@@ -35,7 +43,13 @@
   submit(command: Command): void {
     if (this.stopped) return;
     this.queue.push(command);
-    if (this.open) this.wake();
+    if (!this.open) return;
+    const now = this.clock();
+    this.oldest ??= now;
+    if (now - this.oldest > OVERDUE_MS && !this.running) {
+      if (this.timer) clearTimeout(this.timer);
+      this.run();
+    } else this.wake();
   }
 
   /** Applies what was read at takeover before anything that came in since. */
@@ -58,11 +72,14 @@
   private run(): void {
     this.timer = null;
     if (this.stopped) return;
+    this.running = true;
+    this.oldest = null;
     const commands = this.queue;
     this.queue = [];
     const before = this.clock();
     const effects = step(this.core, commands, before, this.authority());
     for (const effect of effects) this.carryOut(effect);
+    this.running = false;
     const after = this.clock();
     this.nextAt = after + Math.min(MAX_PAUSE_MS, (after - before) * this.pauseFactor);
     if (this.queue.length > 0) this.wake();
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -640,6 +640,31 @@
     expect(server.maxConnections).toBeLessThan(settings.quota.maxConnections);
   });
 
+  it('answers within one long turn of the event loop, as when a whole fleet reports after a takeover', () => {
+    vi.useFakeTimers();
+    cleanups.push(() => vi.useRealTimers());
+    let clock = 0;
+    let settled = 0;
+    const owner = new Owner(
+      core(),
+      () => 'lead',
+      (effect) => {
+        if (effect.kind === 'settled') settled += 1;
+      },
+      () => clock as Instant,
+    );
+    owner.start([]);
+    vi.advanceTimersByTime(1);
+    // No timer fires while the turn lasts.
+    for (let i = 0; i < 500; i += 1) {
+      owner.submit({ kind: 'abort', job: 'job-1' as JobId, ticket: 1 as Ticket });
+      clock += 8;
+    }
+    expect(settled).toBeGreaterThan(400);
+    vi.advanceTimersByTime(1000);
+    expect(settled).toBe(500);
+  });
+
   it('widens its batches: what comes in while a round is paid off is decided together', () => {
     vi.useFakeTimers();
     cleanups.push(() => vi.useRealTimers());
