Malformed reports and peer messages are logged once, not each time

Cause: a worker whose report cannot be read comes again every few seconds, and each time left a line.

--- a/src/adapters/api.ts
+++ b/src/adapters/api.ts
@@ -7,7 +7,7 @@
 import type { Controller } from '../service/controller.js';
 import type { Lookup } from '../service/users.js';
 import { steadyNow } from './clock.js';
-import type { Log } from './log.js';
+import { type Log, Once } from './log.js';
 import type { Settings } from './settings.js';
 import { jobAnswer, ordersOut, parseJob, parseJobId, parseReport } from './wire.js';
 
@@ -70,6 +70,7 @@
 
 export const makeApi = (controller: Controller, log: Log): Hono<Env> => {
   const app = new Hono<Env>();
+  const malformed = new Once();
 
   app.get('/up', (c) => (controller.ready() ? c.json({ ok: true }) : later(c, 'starting')));
 
@@ -77,7 +78,10 @@
     const body = await readBody(c, MAX_REPORT);
     const report = 'json' in body ? parseReport(body.json) : null;
     if (!report) {
-      log.info({ fault: 'fault' in body ? body.fault : 'fields' }, 'check-in of an unknown form');
+      const fault = 'fault' in body ? body.fault : 'fields';
+      const machine =
+        'json' in body ? String((body.json as { Berth?: unknown } | null)?.Berth).slice(0, 120) : '';
+      if (malformed.first(`${machine} ${fault}`)) log.info({ machine, fault }, 'check-in of an unknown form');
       return sendDirectly(c, 400, { error: 'malformed' });
     }
     const answer = await controller.checkIn(report);
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -1,5 +1,5 @@
 import { makeApi, serveApi } from '../adapters/api.js';
-import { makeLog } from '../adapters/log.js';
+import { makeLog, Once } from '../adapters/log.js';
 import { servePeers } from '../adapters/peer-link.js';
 import { Jitter } from '../adapters/random.js';
 import { Controller } from '../service/controller.js';
@@ -15,10 +15,13 @@
   const jitter = new Jitter((Date.now() ^ (process.pid << 8)) | 0);
   const controller = new Controller(settings, policy, log, jitter);
   serveApi(settings, makeApi(controller, log), log);
+  const dropped = new Once();
   servePeers(
     settings.back,
     (question) => controller.respond(question),
-    (reason) => log.info({ reason }, 'peer message dropped'),
+    (reason) => {
+      if (dropped.first(reason)) log.info({ reason }, 'peer message dropped');
+    },
   ).on('error', (error) => {
     log.error({ err: error }, 'cannot listen for peers');
     process.exit(1);
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -610,6 +610,26 @@
   });
 });
 
+describe('malformed reports', () => {
+  it('are refused each time and logged once for each machine, however often they come', async () => {
+    const port = await freePort();
+    const settings = parseSettings(settingsText({ api_addr: `127.0.0.1:${port}` }));
+    const lines: string[] = [];
+    const told = pino({ level: 'info' }, { write: (line: string) => lines.push(line) });
+    const server = serveApi(settings, makeApi({} as Controller, told), told);
+    cleanups.push(
+      () => server.close(),
+      () => server.closeAllConnections(),
+    );
+    for (let i = 0; i < 5; i += 1) {
+      for (const bad of [{ Berth: 'n-1' }, { Berth: 'n-2' }, 'not json', null]) {
+        expect((await post(`127.0.0.1:${port}`, '/checkin', bad))?.status).toBe(400);
+      }
+    }
+    expect(lines).toHaveLength(4);
+  });
+});
+
 describe('under overload', () => {
   it('turns users away at once beyond a bound, with Retry-After, and serves again when there is room', async () => {
     const port = await freePort();
