--- a/src/adapters/rate-limiter.ts
+++ b/src/adapters/rate-limiter.ts
@@ -7,14 +7,21 @@
   private waiting = 0;
 
   constructor(
-    private readonly perSecond: number,
-    private readonly burst: number,
+    private perSecond: number,
+    private burst: number,
     private readonly maxWaiting = 200,
   ) {
     this.tokens = burst;
     this.at = steadyNow();
   }
 
+  /** From now on this many a second, with a burst of one second's worth. */
+  setRate(perSecond: number): void {
+    if (perSecond === this.perSecond) return;
+    this.perSecond = perSecond;
+    this.burst = perSecond;
+  }
+
   /** Takes `n` tokens at once, going into debt, and tells how long to wait for them. */
   private reserve(n: number): number {
     const now = steadyNow();
--- a/src/adapters/settings.ts
+++ b/src/adapters/settings.ts
@@ -41,7 +41,21 @@
       v.minLength(1),
     ),
     workers: v.object({ report_s: positive, lease_s: positive, cancel_s: positive }),
-    state: v.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: whole }),
+    state: v.object({
+      rps: positive,
+      write_rps: positive,
+      value_kb: positive,
+      txn_ops: whole,
+      next: v.nullish(
+        v.object({
+          rps: v.nullish(positive),
+          write_rps: v.nullish(positive),
+          value_kb: v.nullish(positive),
+          txn_ops: v.nullish(whole),
+        }),
+        {},
+      ),
+    }),
     cloud: v.object({ rps: positive, list_lag_s: amount }),
     quota: v.nullish(
       v.object({
@@ -73,6 +87,10 @@
   readonly stateLimits: {
     readonly rps: number;
     readonly writeRps: number;
+    /** The rates that it will have from some moment on; never above the present ones. */
+    readonly nextRps: number;
+    readonly nextWriteRps: number;
+    /** Sizes: the smaller of what holds now and what will. */
     readonly valueBytes: number;
     readonly txnOps: number;
   };
@@ -103,6 +121,8 @@
   if (!result.success) throw new SettingsError(`settings: ${firstIssue(result.issues)}`);
   const s = result.output;
   const { params } = s;
+  const { state } = params;
+  const { next } = state;
   return {
     node: s.node as NodeId,
     zone: s.zone as ZoneName,
@@ -123,10 +143,12 @@
       cancelS: params.workers.cancel_s,
     },
     stateLimits: {
-      rps: params.state.rps,
-      writeRps: params.state.write_rps,
-      valueBytes: Math.floor(params.state.value_kb * 1024),
-      txnOps: params.state.txn_ops,
+      rps: state.rps,
+      writeRps: state.write_rps,
+      nextRps: Math.min(state.rps, next.rps ?? state.rps),
+      nextWriteRps: Math.min(state.write_rps, next.write_rps ?? state.write_rps),
+      valueBytes: Math.floor(Math.min(state.value_kb, next.value_kb ?? state.value_kb) * 1024),
+      txnOps: Math.min(state.txn_ops, next.txn_ops ?? state.txn_ops),
     },
     cloudLimits: { rps: params.cloud.rps, listLagS: params.cloud.list_lag_s },
     quota: {
--- a/src/adapters/state-client.ts
+++ b/src/adapters/state-client.ts
@@ -1,6 +1,7 @@
 /** The state service: wire names in, plain results out, within this node's share of its limits. */
 import * as v from 'valibot';
 import type { Revision } from '../core/types.js';
+import { steadyNow } from './clock.js';
 import { HttpClient, type Reply } from './http-client.js';
 import { RateLimiter } from './rate-limiter.js';
 import type { Endpoint } from './settings.js';
@@ -38,6 +39,7 @@
 });
 const epochSchema = v.object({ Epoch: revision });
 const holdSchema = v.object({ Hold: v.pipe(v.number(), v.integer()) });
+const noLeaseSchema = v.object({ error: v.literal('no such lease') });
 const changeSchema = v.union([
   v.object({ Write: v.string(), Data: v.unknown(), Stamp: revision }),
   v.object({ Delete: v.string(), Stamp: revision }),
@@ -52,11 +54,20 @@
 const PROBE_MS = 300;
 const QUEUE_MS = 1500;
 
-export interface Shares {
+/** Requests and changes a second. */
+interface Rates {
   readonly rps: number;
   readonly writeRps: number;
 }
 
+export interface Shares extends Rates {
+  /** What is left of them once the service has lowered its limits, which only its refusals tell. */
+  readonly lowered: Rates;
+}
+
+/** After a refusal for the rate the lower shares hold for this long; should the limits be as before, the higher ones return. */
+const LOWERED_MS = 20_000;
+
 const path = (params: Record<string, string | number | undefined>): string =>
   Object.entries(params)
     .filter(([, value]) => value !== undefined)
@@ -81,8 +92,12 @@
   private failing = false;
   private probe: NodeJS.Timeout | null = null;
   private closed = false;
+  private loweredUntil = 0;
 
-  constructor(at: Endpoint, shares: Shares) {
+  constructor(
+    at: Endpoint,
+    private readonly shares: Shares,
+  ) {
     this.http = new HttpClient(at, 24);
     this.leases = new HttpClient(at, 6);
     this.watches = new HttpClient(at, 4, 60_000);
@@ -112,9 +127,18 @@
       this.failing = true;
       if (!this.closed) this.probe ??= setTimeout(() => this.tryAgain(), PROBE_MS);
     } else if (reply.status !== 429) this.failing = false;
+    if (reply.kind === 'answer') this.noteRate(reply.status === 429);
     return reply;
   }
 
+  private noteRate(refused: boolean): void {
+    const now = steadyNow();
+    if (refused) this.loweredUntil = now + LOWERED_MS;
+    const { rps, writeRps } = now < this.loweredUntil ? this.shares.lowered : this.shares;
+    this.requests.setRate(rps);
+    this.writes.setRate(writeRps);
+  }
+
   /** While the service is away, this alone finds out when it is back. */
   private tryAgain(): void {
     this.probe = null;
@@ -174,7 +198,7 @@
     writes: readonly Write[],
     maxWaitMs = QUEUE_MS,
     timeoutMs = WRITE_MS,
-  ): Promise<{ revision: Revision } | 'conflict' | 'expired' | Failure> {
+  ): Promise<{ revision: Revision } | 'conflict' | 'expired' | 'too-large' | Failure> {
     if (!(await this.writes.take(writes.length, maxWaitMs))) return 'refused';
     const transaction = {
       Guards: guards.map((g) => ({ Path: g.key, Stamp: g.revision })),
@@ -187,7 +211,8 @@
     const reply = await this.call('POST', '/multi', transaction, timeoutMs);
     if (reply.kind === 'answer') {
       if (reply.status === 409) return 'conflict';
-      if (reply.status === 400) return 'expired';
+      // Only one reason for 400 has a name; the others are what the service finds wrong with the request itself.
+      if (reply.status === 400) return v.is(noLeaseSchema, reply.body) ? 'expired' : 'too-large';
       if (reply.status === 200) {
         const body = v.safeParse(epochSchema, reply.body);
         if (body.success) return { revision: body.output.Epoch as Revision };
--- a/src/adapters/wire.ts
+++ b/src/adapters/wire.ts
@@ -12,6 +12,7 @@
   Order,
   Report,
   ReportedTask,
+  Shape,
   TaskIndex,
   TaskPhase,
   TeamName,
@@ -34,7 +35,7 @@
   Ref: v.pipe(v.string(), v.regex(JOB_ID)),
   Lane: label,
   Crew: label,
-  Shape: v.literal('sweep'),
+  Shape: v.picklist(['sweep', 'daemon']),
   Rank: v.picklist(['critical', 'urgent', 'standard', 'best_effort']),
   Pieces: v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(100_000)),
   Cpus: amount,
@@ -53,6 +54,9 @@
   DueS: v.nullish(amount, null),
 });
 
+const SHAPES = { sweep: 'array', daemon: 'service' } as const;
+const WIRE_SHAPES = { array: 'sweep', service: 'daemon' } as const;
+
 /** The job, or the field that is wrong. */
 export const parseJob = (body: unknown): JobSpec | { readonly fault: string } => {
   const result = v.safeParse(jobSchema, body);
@@ -63,6 +67,7 @@
   const b = result.output;
   return {
     id: b.Ref as JobId,
+    shape: SHAPES[b.Shape],
     lane: b.Lane,
     team: b.Crew as TeamName,
     priority: b.Rank,
@@ -87,6 +92,9 @@
 export interface JobView {
   readonly id: JobId;
   readonly team: TeamName;
+  readonly shape?: Shape | undefined;
+  /** How many tasks it has, or how many replicas it wants. */
+  readonly tasks?: number | undefined;
   readonly status: 'queued' | 'running' | 'done' | 'cancelled';
   readonly done: number;
   readonly running: number;
@@ -100,6 +108,8 @@
   Status: STATUS[view.status],
   done: view.done,
   running: view.running,
+  ...(view.shape ? { Shape: WIRE_SHAPES[view.shape] } : {}),
+  ...(view.tasks === undefined ? {} : { Pieces: view.tasks }),
   ...(view.waiting ? { waiting: view.waiting } : {}),
 });
 
--- a/src/core/backfill.ts
+++ b/src/core/backfill.ts
@@ -4,29 +4,30 @@
  * they leave that room alone or end before the shadow time.
  */
 import { type Ranked, rankJobs } from './rank.js';
+import { goesFirst, keepMachines, moveAway, replicasToMove, roomsForReplicas } from './services.js';
 import {
   ATTEMPTS_PER_TERM,
   type CoreState,
+  failsEverywhere,
   hold,
   type Job,
   type Machine,
   occupies,
   type Placement,
+  SUSPECT_MACHINES,
   takePending,
   usable,
 } from './state.js';
 import {
   type Attempt,
   type Instant,
+  isService,
   type LedgerEntry,
   type MachineType,
   PRIORITY_LEVEL,
   type TypeName,
 } from './types.js';
 
-/** A job whose tasks fail on this many machines in a row is tried one task at a time, with pauses. */
-export const SUSPECT_MACHINES = 3;
-
 /** Room on a machine: what is free now and what the head leaves free at the shadow time. */
 export interface Room {
   readonly machine: Machine;
@@ -71,6 +72,8 @@
   if (spec.types && !spec.types.includes(machine.type)) return false;
   if (spec.zone !== null && spec.zone !== machine.zone) return false;
   if (machine.spot && !spec.spotOk) return false;
+  if (isService(job)) return true;
+  if (machine.kept && spec.spotOk) return false;
   return !(job.failedOn.size < SUSPECT_MACHINES && job.failedOn.has(machine.id));
 };
 
@@ -113,9 +116,12 @@
     ? 0
     : (job.spec.imageGb / Math.max(room.type.fetchGbPerS, 0.01)) * 1000;
 
+/** How long a task of the job should run; a replica runs until its service is cancelled. */
+const runMs = (job: Job): number => (isService(job) ? Number.POSITIVE_INFINITY : job.spec.estimateS * 1000);
+
 /** When a running attempt should end by its estimate; an overrun counts as ending soon. */
 export const estimatedEnd = (p: Placement, now: Instant): number => {
-  const estimate = (p.job?.spec.estimateS ?? 0) * 1000;
+  const estimate = p.job ? runMs(p.job) : 0;
   // A task that is being stopped ends once it has saved.
   if (p.kill) return now + Math.min(p.kill.graceS, p.job?.spec.saveS ?? 0) * 1000 + 500;
   const end = (p.startedAt ?? p.placedAt) + estimate;
@@ -127,7 +133,12 @@
  * sooner there. While one job is placed rooms only fill up, so that one that was passed over need not be looked at again:
  * the work of a round follows the rooms and not rooms times tasks.
  */
-function* candidates(job: Job, rooms: readonly Room[]): Generator<Room> {
+function* candidates(state: CoreState, job: Job, rooms: readonly Room[], now: Instant): Generator<Room> {
+  if (isService(job)) {
+    const suits = rooms.filter((r) => fitsNow(job, r) && mayUseMachine(job, r.machine));
+    yield* roomsForReplicas(state, job, suits, now);
+    return;
+  }
   let next = 0;
   while (next < rooms.length) {
     const first = rooms[next]!;
@@ -255,27 +266,30 @@
 ): PlaceResult => {
   const placed: Placement[] = [];
   const zone = chooseZone(job, rooms);
-  const suspect = job.failedOn.size >= SUSPECT_MACHINES;
+  const suspect = failsEverywhere(job);
   let reserved = false;
   const allowed = (r: Room): boolean => {
     if (zone !== null && r.machine.zone !== zone) return false;
     if (shadowAt === 0 || fitsShadow(job, r)) return true;
-    if (now + job.spec.estimateS * 1000 + fetchMs(job, r) <= shadowAt) return true;
+    if (now + runMs(job) + fetchMs(job, r) <= shadowAt) return true;
     reserved = true;
     return false;
   };
   const usableNow = (r: Room) => fitsNow(job, r) && zoneAllows(job, r.machine) && allowed(r);
-  const order = candidates(job, rooms);
+  const order = candidates(state, job, rooms, now);
+  // A service's replicas go to one machine after the other, an array's tasks fill each.
+  const spread = isService(job);
   let room: Room | null = null;
   while (job.pending > 0 && placed.length < most) {
     if (suspect && job.held.size > 0) return { placed, blockedBy: 'its tasks fail on every machine' };
     if (teamRoom(state, job) < 1) return { placed, blockedBy: TEAM_LIMIT };
+    if (spread) room = null;
     while (!room || !usableNow(room)) {
       const next: IteratorResult<Room> = order.next();
       if (next.done) return { placed, blockedBy: reserved ? 'room reserved for the head' : NO_MACHINE };
       room = next.value;
     }
-    const outlasts = shadowAt === 0 || now + job.spec.estimateS * 1000 + fetchMs(job, room) > shadowAt;
+    const outlasts = shadowAt === 0 || now + runMs(job) + fetchMs(job, room) > shadowAt;
     const placement = place(state, job, room, now);
     if (!placement) return { placed, blockedBy: 'no attempt number left' };
     if (outlasts) takeShadow(job, room);
@@ -293,6 +307,7 @@
     for (const p of room.machine.placements.values()) {
       if (!occupies(p.phase)) continue;
       const at = estimatedEnd(p, now);
+      if (at === Number.POSITIVE_INFINITY) continue;
       const second = Math.floor(at / 1000);
       const ends = seconds.get(second);
       if (ends) ends.push({ at, room, p });
@@ -413,28 +428,112 @@
   return rankJobs(waiting, state.types, fleetGpus(state), now, state.config.policy);
 };
 
+/**
+ * A replica whose machine is about to go is stopped as soon as room elsewhere is held for it, in this round and in each until
+ * it is proven gone: then it starts, ahead of the queue or by its rank.
+ */
+const holdForMoves = (leaving: readonly Placement[], rooms: readonly Room[]): void => {
+  for (const p of leaving) {
+    const job = p.job!;
+    const room = rooms.find(
+      (r) =>
+        fitsNow(job, r) &&
+        mayUseMachine(job, r.machine) &&
+        (r.machine.zone === p.machine.zone || zoneAllows(job, r.machine)),
+    );
+    if (!room) continue;
+    room.slots -= 1;
+    room.cpus -= job.spec.cpus;
+    room.gpus -= job.spec.gpus;
+    room.memoryGb -= job.spec.memoryGb;
+    takeShadow(job, room);
+    moveAway(p);
+  }
+};
+
+/** Replicas that find no room stop what loses least, as little as it takes for one replica after the other. */
+const makeRoomForReplicas = (job: Job, missing: number, rooms: readonly Room[], now: Instant): void => {
+  const level = PRIORITY_LEVEL[job.spec.priority];
+  let left = missing;
+  const options: { victims: Placement[]; loss: number }[] = [];
+  for (const room of rooms) {
+    if (!mayUseMachine(job, room.machine) || !zoneAllows(job, room.machine)) continue;
+    const all = [...room.machine.placements.values()].filter((p) => occupies(p.phase));
+    // Room that is already being made counts first.
+    const stopping = all.filter((p) => p.kill);
+    if (stopping.length > 0 && fitsIn(job, roomWith(room, stopping))) {
+      left -= 1;
+      continue;
+    }
+    const lower = all
+      .filter((p) => p.job && !p.kill && !isService(p.job) && PRIORITY_LEVEL[p.job.spec.priority] < level)
+      .map((p) => ({ p, loss: lossMs(p, now) }))
+      .sort((a, b) => a.loss - b.loss);
+    const victims: Placement[] = [];
+    let loss = 0;
+    for (const { p, loss: one } of lower) {
+      victims.push(p);
+      loss += one;
+      if (!fitsIn(job, roomWith(room, victims))) continue;
+      options.push({ victims, loss });
+      break;
+    }
+  }
+  options.sort((a, b) => a.loss - b.loss);
+  for (const { victims } of options) {
+    if (left <= 0) return;
+    left -= 1;
+    for (const p of victims) {
+      const saves = (p.job?.spec.checkpointS ?? 0) > 0;
+      p.kill = { graceS: saves ? (p.job?.spec.saveS ?? 0) + 5 : 0, sentAt: null };
+    }
+  }
+};
+
+/** The run time that is lost when an attempt is stopped. */
+const lossMs = (p: Placement, now: Instant): number => {
+  if (p.startedAt === null) return 0;
+  const ran = now - p.startedAt;
+  const save =
+    (p.job?.spec.checkpointS ?? 0) > 0 ? (p.job?.spec.saveS ?? 0) * 1000 : Number.POSITIVE_INFINITY;
+  return Math.min(ran, save);
+};
+
 export const runRound = (state: CoreState, now: Instant): Round => {
   const ranked = rankWaiting(state, now);
+  const leaving = replicasToMove(state, now);
   const placed: Placement[] = [];
   state.shadowAt = null;
-  if (ranked.length === 0) {
+  if (ranked.length === 0 && leaving.length === 0) {
     state.head = null;
     return { placed, ranked };
   }
+  keepMachines(state, now);
   // A job that fails everywhere grows old and would seize the head: it may wait, but not reserve.
-  const canHead = (job: Job) => job.failedOn.size < SUSPECT_MACHINES;
+  // Nor may a service: no estimate tells when it could start in full, and it could hold the head for ever.
+  const canHead = (job: Job) => job.failedOn.size < SUSPECT_MACHINES && !isService(job);
   let head = ranked.find((r) => r.job.spec.id === state.head && canHead(r.job)) ?? null;
   head ??= ranked.find((r) => canHead(r.job)) ?? null;
   state.head = head?.job.spec.id ?? null;
   const rooms = roomsOf(state, now);
   const least = leastOf(ranked);
+  // Replicas that are back from a machine that went find the room that was held for them.
+  const first = ranked.filter(({ job }) => goesFirst(job));
+  for (const { job } of first) {
+    const result = placeJob(state, job, stillOpen(rooms, least), now, 0);
+    for (const p of result.placed) placed.push(p);
+    job.blockedBy = result.blockedBy;
+    const missing = Math.min(job.pending, teamRoom(state, job));
+    if (missing > 0 && !failsEverywhere(job)) makeRoomForReplicas(job, missing, rooms, now);
+  }
+  holdForMoves(leaving, rooms);
   let open = stillOpen(rooms, least);
   let shadowAt = 0;
   const { firstTaskS } = state.config.policy;
   /** The first task of each job but the head that has waited this long and of which nothing has begun. */
   const firstTasks = (waitedS: number) => {
     for (const { job } of ranked) {
-      if (now - job.submittedAt < waitedS * 1000 || job === head?.job) continue;
+      if (now - job.submittedAt < waitedS * 1000 || job === head?.job || goesFirst(job)) continue;
       if (job.held.size > 0 || job.doneCount > 0) continue;
       if (open.length === 0) return;
       const result = placeJob(state, job, open, now, shadowAt, 1);
@@ -469,7 +568,7 @@
   /** Needs that found no machine: in this round rooms only shrink, so that equal needs find none either. */
   const hopeless = new Set<string>();
   for (const { job } of ranked) {
-    if (job === head?.job) continue;
+    if (job === head?.job || goesFirst(job)) continue;
     const plain = !job.spec.oneZone && !job.spec.scatter && job.failedOn.size === 0;
     if (open.length === 0 || (plain && hopeless.has(job.needs))) {
       job.blockedBy = teamRoom(state, job) < 1 ? TEAM_LIMIT : NO_MACHINE;
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -1,5 +1,6 @@
 /** Which machines to rent, replace and return. */
 import { mayUseMachine, teamRoom } from './backfill.js';
+import { ordinaryNeed } from './services.js';
 import {
   type CoreState,
   type Job,
@@ -12,6 +13,7 @@
 import {
   type Effect,
   type Instant,
+  isService,
   type ListedMachine,
   later,
   type MachineId,
@@ -239,7 +241,7 @@
   const { policy, teams } = state.config;
   const byTeam = new Map<string, number>();
   for (const job of state.jobs.values()) {
-    if (job.final !== 'none' || now < job.retryAt) continue;
+    if (job.final !== 'none' || (now < job.retryAt && !isService(job))) continue;
     const cpus = (job.spec.tasks - job.doneCount) * job.spec.cpus;
     byTeam.set(job.spec.team, (byTeam.get(job.spec.team) ?? 0) + cpus);
     state.lastWorkAt = now;
@@ -311,6 +313,24 @@
   }
 };
 
+/** Ordinary machines for what may use no others; cheap ones would be asked for first. */
+const rentOrdinary = (state: CoreState, options: readonly RentOption[], now: Instant): Effect[] => {
+  const effects: Effect[] = [];
+  const need = ordinaryNeed(state, now);
+  if (need <= 0) return effects;
+  let supply = 0;
+  for (const m of state.machines.values()) {
+    if (!m.spot && counted(m)) supply += state.types.get(m.type)?.cpus ?? 0;
+  }
+  const services = [...state.jobs.values()].filter((job) => isService(job) && !job.spec.spotOk);
+  const useful = options.filter(
+    (o) => !o.spot && (services.length === 0 || services.some((j) => optionSuits(j, o))),
+  );
+  for (const o of useful) supply += asked(o) * o.type.cpus;
+  if (supply < need) rentFrom(state, useful, need - supply, now, effects);
+  return effects;
+};
+
 const rentals = (state: CoreState, now: Instant): Effect[] => {
   const effects: Effect[] = [];
   if (!state.listRead) return effects;
@@ -319,8 +339,9 @@
       if (now - askedAt > RENT_ANSWER_MS) option.outstanding.delete(request);
     }
   }
-  const need = measure(state, now);
   const options = [...state.options.values()].sort(byPrice);
+  effects.push(...rentOrdinary(state, options, now));
+  const need = measure(state, now);
   const jobs = [...state.jobs.values()].filter((j) => j.final === 'none' && j.pending > 0);
   if (need.supply < need.cpus) {
     const useful = jobs.length > 0 ? options.filter((o) => jobs.some((j) => optionSuits(j, o))) : options;
@@ -357,13 +378,18 @@
 const returnIdle = (state: CoreState, now: Instant): void => {
   const need = measure(state, now);
   let spare = need.supply - need.cpus;
+  let ordinary = -ordinaryNeed(state, now);
+  for (const m of state.machines.values()) {
+    if (!m.spot && counted(m)) ordinary += state.types.get(m.type)?.cpus ?? 0;
+  }
   for (const m of state.machines.values()) {
     if (spare <= 0) return;
     if (!counted(m) || !m.everSeen || m.placements.size > 0) continue;
     if (now - m.idleSince < state.config.policy.idleReturnS * 1000) continue;
     const cpus = state.types.get(m.type)?.cpus ?? 0;
-    if (cpus > spare) continue;
+    if (cpus > spare || (!m.spot && cpus > ordinary)) continue;
     spare -= cpus;
+    if (!m.spot) ordinary -= cpus;
     m.draining = true;
   }
 };
@@ -384,7 +410,8 @@
   if (m.noticeUntil === null) return;
   const left = m.noticeUntil - now;
   for (const p of m.placements.values()) {
-    if (!occupies(p.phase) || p.kill) continue;
+    // Services move once there is room for them elsewhere.
+    if (!occupies(p.phase) || p.kill || (p.job && isService(p.job))) continue;
     const estimate = (p.job?.spec.estimateS ?? 0) * 1000;
     const end = p.phase === 'running' && p.startedAt !== null ? p.startedAt + estimate : now + estimate;
     if (end <= now + left) continue;
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -1,24 +1,24 @@
 /** Jobs: their arrival, their end, and what happens to their tasks. */
-import { SUSPECT_MACHINES } from './backfill.js';
 import { quarantine } from './fleet.js';
 import { note } from './note.js';
 import { sendKills } from './orders.js';
 import {
-  CHUNK_TASKS,
   type CoreState,
   chunkOf,
+  failsEverywhere,
   isDone,
   type Job,
   leaveChunkSegment,
   type Machine,
   newJob,
   type Placement,
+  SUSPECT_MACHINES,
 } from './state.js';
 import { type Effect, type Instant, type JobId, later, seconds, type Ticket } from './types.js';
 
 export const addJob = (state: CoreState, spec: Job['spec'], submittedAt: Instant): void => {
   if (state.jobs.has(spec.id)) return;
-  const job = newJob(spec, submittedAt);
+  const job = newJob(spec, submittedAt, state.config);
   state.jobs.set(spec.id, job);
   state.placementDue = true;
 };
@@ -71,9 +71,9 @@
   const { index } = p.entry;
   if (index >= job.spec.tasks) return;
   const chunk = chunkOf(job, index);
-  const number = Math.floor(index / CHUNK_TASKS);
+  const number = Math.floor(index / job.partTasks);
   if (!isDone(job, index)) {
-    const at = index % CHUNK_TASKS;
+    const at = index % job.partTasks;
     chunk.bits[at >> 3] = (chunk.bits[at >> 3] ?? 0) | (1 << (at & 7));
     chunk.version += 1;
     job.doneCount += 1;
@@ -92,6 +92,35 @@
   job.failures = 0;
 };
 
+/** A replica that ran for this long was sound: its end says nothing against its service. */
+const SOUND_RUN_MS = 30_000;
+/** After this long without a failure a service's pauses start anew. */
+const FAILURES_FORGOTTEN_MS = 120_000;
+
+/**
+ * A replica has ended by itself, for whatever cause: it runs again, elsewhere where it can. One that ends soon after its start
+ * counts as failed, so that a service which ends at once everywhere pauses for longer and longer.
+ */
+export const noteReplicaEnd = (
+  state: CoreState,
+  job: Job,
+  p: Placement,
+  failed: boolean,
+  now: Instant,
+  effects: Effect[],
+): void => {
+  if (now - job.failedAt > FAILURES_FORGOTTEN_MS) {
+    job.failedOn.clear();
+    job.failures = 0;
+  }
+  job.failedAt = now;
+  const sound = p.startedAt !== null && now - p.startedAt >= SOUND_RUN_MS;
+  if (sound) job.failedOn.add(p.machine.id);
+  else noteFailure(state, job, p.machine, now, effects);
+  // An end without an error says nothing against the machine.
+  if (!failed) p.machine.failedJobs.delete(job.spec.id);
+};
+
 export const noteFailure = (
   state: CoreState,
   job: Job,
@@ -102,7 +131,7 @@
   job.failures += 1;
   job.failedOn.add(m.id);
   m.failedJobs.add(job.spec.id);
-  if (job.failedOn.size >= SUSPECT_MACHINES) {
+  if (failsEverywhere(job)) {
     // The job's own mistake: the machines are not to blame, and it must neither hold the head nor burn them.
     for (const other of state.machines.values()) other.failedJobs.delete(job.spec.id);
     const pause = Math.min(60, 2 ** Math.min(job.failures - SUSPECT_MACHINES + 1, 6));
--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -4,7 +4,6 @@
 import { adopt, ensureMachine } from './reports.js';
 import {
   type Batch,
-  CHUNK_TASKS,
   type CoreState,
   chunkOf,
   isDone,
@@ -13,30 +12,39 @@
   leaveSegment,
   openSegment,
   type Placement,
+  recordBytes,
   recountPending,
+  release,
   type Segment,
   segmentKey,
 } from './state.js';
-import type {
-  Command,
-  Effect,
-  Instant,
-  JobId,
-  LedgerEntry,
-  LedgerRow,
-  MachineId,
-  ProgressRow,
-  SaveOp,
-  SegmentKey,
+import {
+  type Attempt,
+  type Command,
+  type Effect,
+  type Instant,
+  isService,
+  type JobId,
+  type LedgerEntry,
+  type LedgerRow,
+  later,
+  type MachineId,
+  type Millis,
+  type ProgressRow,
+  type SaveOp,
+  type SegmentKey,
+  type TaskIndex,
 } from './types.js';
 
+/** A job of which something could not be stored waits this long before it is tried again, otherwise put. */
+const REFUSED_PAUSE_MS = 30_000 as Millis;
+
 /** Progress that only guards against a crash may wait this long for company. */
 const PROGRESS_WAIT_MS = 700;
 /** Kept well below what one transaction may hold. */
 const BATCH_BYTES = 40_000;
-const RECORD_BYTES = 14_000;
-/** Upper bounds of what a row of a ledger record takes, besides its names. */
-const ENTRY_BYTES = 36;
+/** Upper bounds of what a row of a ledger record takes, besides its names and the numbers that grow with the day. */
+const ENTRY_BYTES = 14;
 const ROW_BYTES = 60;
 /** Ledger records dropped in one batch, and how many may lie about before a batch is made for them alone. */
 const DROPS_AT_ONCE = 8;
@@ -61,7 +69,7 @@
       ? 0
       : ROW_BYTES + byteLength(machine.id) + byteLength(machine.type) + byteLength(machine.zone);
     const named = this.jobs.has(entry.job) ? 0 : ROW_BYTES + entry.job.length + byteLength(entry.team);
-    return ENTRY_BYTES + row + named;
+    return ENTRY_BYTES + String(entry.attempt).length + row + named;
   }
 
   /** False when the record has no room for it. */
@@ -91,7 +99,7 @@
     const cost = ROW_BYTES + job.spec.id.length + Math.ceil(chunk.bits.length / 3) * 4;
     if (this.bytes + cost > limit) return false;
     this.bytes += cost;
-    this.progress.push({ job: job.spec.id, chunk: number, bits: chunk.bits.slice() });
+    this.progress.push({ job: job.spec.id, from: number * job.partTasks, bits: chunk.bits.slice() });
     leaveChunkSegment(state, chunk);
     chunk.segment = this.segment;
     this.segment.chunks.set(chunk, { job, number });
@@ -100,20 +108,28 @@
   }
 }
 
+/** Replicas of services stay for as long as their job: records of their own do not grow thin with what ends soon. */
+const lasts = (p: Placement): boolean => p.job !== null && isService(p.job);
+
+type Put = (lasting: boolean, add: (draft: SegmentDraft) => boolean) => boolean;
+
 /**
- * Old records of which little is left move into the newest one, so that a few long tasks do not keep many records
- * alive that a new leader would have to read. Moved and dropped in one transaction.
+ * Old records of which little is left move into the newest ones, so that a few long tasks do not keep many records
+ * alive that a new leader would have to read. Moved and dropped in one batch, the drop last; a record that is larger than
+ * one may be now moves in pieces.
  */
-const moveThin = (state: CoreState, draft: SegmentDraft, limit: number): void => {
+const moveThin = (state: CoreState, fresh: ReadonlySet<Segment>, put: Put, limit: number): void => {
   let moved = 0;
-  for (const segment of state.segments.values()) {
+  for (const segment of [...state.segments.values()]) {
     if (moved >= MOVES_AT_ONCE) return;
     const left = segment.placements.size + segment.chunks.size;
-    if (segment === draft.segment || left > segment.size * THIN_SHARE) continue;
+    if (fresh.has(segment) || left > segment.size * THIN_SHARE) continue;
     moved += 1;
-    for (const p of [...segment.placements]) if (!draft.enter(state, p, limit)) return;
+    for (const p of [...segment.placements]) {
+      if (!put(lasts(p), (draft) => draft.enter(state, p, limit))) return;
+    }
     for (const { job, number } of [...segment.chunks.values()]) {
-      if (!draft.record(state, job, number, limit)) return;
+      if (!put(false, (draft) => draft.record(state, job, number, limit))) return;
     }
   }
 };
@@ -121,14 +137,14 @@
 /** Gathers one batch; the next waits until this one is known to be stored. */
 export const nextBatch = (state: CoreState, now: Instant, effects: Effect[]): void => {
   if (state.batch) return;
-  const { txnOps, valueBytes, term } = state.config;
+  const { txnOps, term } = state.config;
   const ops: SaveOp[] = [];
   const batch: Batch = { id: state.nextBatch, entered: [], chunks: [], finals: [] };
   let changes = 0;
   let bytes = 0;
   for (const job of state.dirtyFinals) {
     // The job's record goes and the final one comes.
-    if (changes + 2 > txnOps) break;
+    if (changes > 0 && changes + 2 > txnOps) break;
     changes += 2;
     bytes += 300;
     const outcome = job.final === 'cancelled' ? 'cancelled' : 'done';
@@ -137,26 +153,32 @@
     batch.finals.push(job);
     state.dirtyFinals.delete(job);
   }
-  const limit = Math.min(valueBytes * 0.9, RECORD_BYTES);
-  let draft: SegmentDraft | null = null;
+  const limit = recordBytes(state.config);
+  /** The records at hand, for what ends soon and for what lasts. */
+  const open: { short: SegmentDraft | null; lasting: SegmentDraft | null } = { short: null, lasting: null };
   const drafts: SegmentDraft[] = [];
+  const fresh = new Set<Segment>();
+  const openBytes = () => (open.short?.bytes ?? 0) + (open.lasting?.bytes ?? 0);
   /** Room for one thing more: in the record at hand, else in a new one. */
-  const put = (add: (draft: SegmentDraft) => boolean): boolean => {
+  const put: Put = (lasting, add) => {
+    const which = lasting ? 'lasting' : 'short';
+    const draft = open[which];
     if (draft && add(draft)) return true;
-    if (changes + 1 > txnOps || bytes + (draft?.bytes ?? 0) > BATCH_BYTES) return false;
+    if (changes + 1 > txnOps || bytes + openBytes() > BATCH_BYTES) return false;
     const key = segmentKey(term, state.nextSegment);
-    const fresh = new SegmentDraft({ key, placements: new Set(), chunks: new Map(), size: 0 });
-    if (!add(fresh)) return false;
+    const next = new SegmentDraft({ key, placements: new Set(), chunks: new Map(), size: 0 });
+    if (!add(next)) return false;
     state.nextSegment += 1;
     changes += 1;
     bytes += draft?.bytes ?? 0;
-    draft = fresh;
-    drafts.push(fresh);
-    state.segments.set(key, fresh.segment);
+    open[which] = next;
+    drafts.push(next);
+    fresh.add(next.segment);
+    state.segments.set(key, next.segment);
     return true;
   };
   for (const p of state.toEnter) {
-    if (!put((d) => d.enter(state, p, limit))) break;
+    if (!put(lasts(p), (d) => d.enter(state, p, limit))) break;
     state.toEnter.delete(p);
     if (p.phase === 'entering') batch.entered.push(p);
   }
@@ -164,7 +186,7 @@
   if (progressDue || ops.length > 0 || drafts.length > 0) {
     for (const [key, { job, chunk: number }] of state.dirtyChunks) {
       const over = !state.jobs.has(job.spec.id) || job.final !== 'none';
-      if (!over && !put((d) => d.record(state, job, number, limit))) break;
+      if (!over && !put(false, (d) => d.record(state, job, number, limit))) break;
       state.dirtyChunks.delete(key);
       if (!over) batch.chunks.push({ job, chunk: number, version: job.chunks.get(number)!.version });
     }
@@ -172,7 +194,7 @@
   }
   const drops: SegmentKey[] = [];
   if (drafts.length > 0 || ops.length > 0 || state.deadSegments.size >= DROPS_ALONE) {
-    if (draft) moveThin(state, draft, limit);
+    if (drafts.length > 0) moveThin(state, fresh, put, limit);
     for (const key of state.deadSegments) {
       if (drops.length >= DROPS_AT_ONCE || changes >= txnOps) break;
       drops.push(key);
@@ -193,10 +215,38 @@
   effects.push({ kind: 'save', batch: batch.id, ops });
 };
 
-export const onSaved = (state: CoreState, id: number, effects: Effect[]): void => {
+/** Changes that the state service takes in no size hold up only what they speak of. */
+const onRefused = (state: CoreState, batch: Batch, refused: readonly SaveOp[], now: Instant): void => {
+  const jobs = new Set<JobId>();
+  const attempts = new Set<Attempt>();
+  for (const op of refused) {
+    if (op.kind === 'final') jobs.add(op.job);
+    if (op.kind !== 'segment') continue;
+    for (const { entries } of op.machines) for (const e of entries) attempts.add(e.attempt);
+    for (const row of op.progress) jobs.add(row.job);
+  }
+  // An attempt that could not be entered was never sent: its task waits again.
+  for (const p of [...batch.entered]) {
+    if (!attempts.has(p.entry.attempt) || p.phase !== 'entering') continue;
+    if (p.job) p.job.retryAt = later(now, REFUSED_PAUSE_MS);
+    release(state, p, now);
+    p.machine.placements.delete(p.entry.attempt);
+  }
+  batch.chunks = batch.chunks.filter(({ job }) => !jobs.has(job.spec.id));
+  batch.finals = batch.finals.filter((job) => !jobs.has(job.spec.id));
+};
+
+export const onSaved = (
+  state: CoreState,
+  id: number,
+  refused: readonly SaveOp[],
+  now: Instant,
+  effects: Effect[],
+): void => {
   const batch = state.batch;
   if (!batch || batch.id !== id) return;
   state.batch = null;
+  if (refused.length > 0) onRefused(state, batch, refused, now);
   for (const p of batch.entered) if (p.phase === 'entering') p.phase = 'offered';
   for (const { job, chunk, version } of batch.chunks) {
     const c = job.chunks.get(chunk);
@@ -205,25 +255,50 @@
   for (const job of batch.finals) finishSaved(state, job, effects);
 };
 
-/** A new leader reads what is done of a job. */
-export const onProgress = (state: CoreState, command: Extract<Command, { kind: 'progress' }>): void => {
-  const job = state.jobs.get(command.job);
-  const segment = openSegment(state, command.segment);
-  if (!job || !Number.isInteger(command.chunk) || command.chunk < 0) return;
-  if (command.chunk * CHUNK_TASKS >= job.spec.tasks) return;
-  const chunk = chunkOf(job, (command.chunk * CHUNK_TASKS) as never);
-  // Several records may speak of one part of a job; the newest says all that the others do.
-  let news = chunk.segment === null;
+/** What a row says of one part of a job; `at` is the part's first byte in the row, which may be before its start. */
+const readPart = (
+  state: CoreState,
+  job: Job,
+  number: number,
+  row: Uint8Array,
+  at: number,
+  segment: Segment,
+) => {
+  const chunk = chunkOf(job, (number * job.partTasks) as TaskIndex);
+  // Several records may speak of one part of a job; mostly the newest says all that the others do.
+  const known = chunk.segment !== null;
+  let news = !known;
+  let whole = true;
   for (const [i, old] of chunk.bits.entries()) {
-    const bits = old | (command.bits[i] ?? 0);
+    const told = row[at + i] ?? 0;
+    const bits = old | told;
     news ||= bits !== old;
+    whole &&= bits === told;
     chunk.bits[i] = bits;
   }
-  if (news) {
-    leaveChunkSegment(state, chunk);
-    chunk.segment = segment;
-    chunk.segment.chunks.set(chunk, { job, number: command.chunk });
-    chunk.segment.size += 1;
+  if (!news) return;
+  leaveChunkSegment(state, chunk);
+  chunk.segment = segment;
+  segment.chunks.set(chunk, { job, number });
+  segment.size += 1;
+  if (whole) return;
+  // Records of smaller parts, each of which says only its own: told anew as one, before any of them is dropped.
+  chunk.version += 1;
+  state.dirtyChunks.set(`${job.spec.id}/${number}`, { job, chunk: number });
+  state.dirtySince = 0 as Instant;
+};
+
+/** A new leader reads what is done of a job. */
+export const onProgress = (state: CoreState, command: Extract<Command, { kind: 'progress' }>): void => {
+  const job = state.jobs.get(command.job);
+  const segment = openSegment(state, command.segment);
+  const { from, bits: row } = command;
+  // A service is never done, in no part.
+  if (!job || isService(job)) return;
+  if (!Number.isInteger(from) || from < 0 || from % 8 !== 0 || from >= job.spec.tasks) return;
+  const end = Math.min(from + Math.max(1, row.length) * 8, job.spec.tasks);
+  for (let number = Math.floor(from / job.partTasks); number * job.partTasks < end; number += 1) {
+    readPart(state, job, number, row, (number * job.partTasks - from) / 8, segment);
   }
   let done = 0;
   for (const { bits } of job.chunks.values()) {
--- a/src/core/orders.ts
+++ b/src/core/orders.ts
@@ -1,4 +1,5 @@
 /** What workers are told: in answers to check-ins, and directly where it must not wait. */
+import { isReplica } from './services.js';
 import { type CoreState, type Machine, type Placement, usable } from './state.js';
 import type { Authority, Effect, Instant, Order } from './types.js';
 
@@ -56,6 +57,9 @@
   effects.push({ kind: 'orders', machine: m.id, endpoint: m.endpoint, session: m.session, orders });
 };
 
+/** A replica that runs and is to go on: its machine has as little to say as an idle one. */
+const runsOn = (p: Placement): boolean => isReplica(p) && p.phase === 'running' && !p.kill;
+
 export const answerTickets = (
   state: CoreState,
   now: Instant,
@@ -74,8 +78,8 @@
       for (const p of m.placements.values()) waits ||= p.phase === 'entering';
       if (waits) continue;
     }
-    if (authority === 'lead' && m.placements.size === 0 && usable(state, m, now) && now - since < idleHoldMs)
-      continue;
+    const nothingEnds = m.placements.size === 0 || (m.kept && [...m.placements.values()].every(runsOn));
+    if (authority === 'lead' && nothingEnds && usable(state, m, now) && now - since < idleHoldMs) continue;
     m.ticket = null;
     state.waiting.delete(m);
     if (authority === 'none') {
--- a/src/core/rank.ts
+++ b/src/core/rank.ts
@@ -4,6 +4,7 @@
  */
 import {
   type Instant,
+  isService,
   type JobSpec,
   type MachineType,
   type Policy,
@@ -63,7 +64,7 @@
 };
 
 export const deadlineScore = (spec: JobSpec, submittedAt: Instant, now: Instant, policy: Policy): number => {
-  if (spec.deadlineS === null) return 0;
+  if (spec.deadlineS === null || spec.shape === 'service') return 0;
   const estimate = spec.estimateS * 1000;
   const deadline = submittedAt + spec.deadlineS * 1000;
   const over = policy.k * estimate;
@@ -74,8 +75,12 @@
   return policy.min + ((policy.max - policy.min) / over) * (end - threshold);
 };
 
-/** An array's estimate, for shortness: what its waiting tasks take one after the other. */
-export const jobEstimateS = (job: Waiting): number => job.spec.estimateS * job.pending;
+/**
+ * An array's estimate, for shortness: what its waiting tasks take one after the other. A service has no end: it is never the
+ * shortest, and gets nothing for shortness.
+ */
+export const jobEstimateS = (job: Waiting): number =>
+  isService(job) ? Number.POSITIVE_INFINITY : job.spec.estimateS * job.pending;
 
 export const scoreJob = (
   job: Waiting,
@@ -94,7 +99,8 @@
   }
   const scarce = policy.scarcityWeight * rare;
   const work = jobEstimateS(job);
-  const shortness = policy.shortnessWeight * (work > 0 ? shortestS / work : 1);
+  const share = work === Number.POSITIVE_INFINITY ? 0 : work > 0 ? shortestS / work : 1;
+  const shortness = policy.shortnessWeight * share;
   const level = policy.levelWeight * PRIORITY_LEVEL[job.spec.priority];
   const total = aging + deadline + scarce + shortness + level;
   return { aging, deadline, scarcity: scarce, shortness, level, total };
--- a/src/core/reports.ts
+++ b/src/core/reports.ts
@@ -1,6 +1,6 @@
 /** What workers report, and what it proves. */
 
-import { markDone, noteFailure } from './jobs.js';
+import { markDone, noteFailure, noteReplicaEnd } from './jobs.js';
 import { note } from './note.js';
 import {
   type CoreState,
@@ -17,6 +17,7 @@
 import {
   type Effect,
   type Instant,
+  isService,
   type LedgerEntry,
   type LedgerMachine,
   later,
@@ -131,9 +132,12 @@
     if (job) machine.images.add(job.spec.image);
     return;
   }
-  if (task.cause === 'done' && job && job.final === 'none') markDone(state, job, p, now);
+  if (job && isService(job)) {
+    if (!p.kill && (task.cause === 'done' || task.cause === 'error'))
+      noteReplicaEnd(state, job, p, task.cause === 'error', now, effects);
+  } else if (task.cause === 'done' && job && job.final === 'none') markDone(state, job, p, now);
   else if (task.cause === 'error' && job && !p.kill) noteFailure(state, job, machine, now, effects);
-  else if (task.cause === 'no_room') machine.fullUntil = later(now, 1500 as Millis);
+  if (task.cause === 'no_room') machine.fullUntil = later(now, 1500 as Millis);
   else if (task.cause === 'unknown' && job) job.retryAt = later(now, seconds(2));
   if (task.cause === 'done') machine.failedJobs.clear();
   if (task.cause !== 'done' && job) {
@@ -214,6 +218,8 @@
     m.lostAt = null;
     m.lostWhy = '';
   }
+  // Replicas on it are to move.
+  if (report.noticeS !== null && m.noticeUntil === null) state.placementDue = true;
   m.noticeUntil = report.noticeS === null ? null : later(now, seconds(report.noticeS));
   // Only a report that carries our term, on a session we answered, proves what is not on the machine:
   // a report sent before could be older than a start that a former leader's answer still brought.
--- /dev/null
+++ b/src/core/services.ts
@@ -0,0 +1,140 @@
+/**
+ * Standing services: where their replicas go, what is kept for them, and how they move. Their replicas have no end that
+ * could be estimated, so that the ordinary path of backfilling, which lives on estimated ends, has no place for them: see
+ * docs/design.md, "Services".
+ */
+import {
+  type CoreState,
+  failsEverywhere,
+  type Job,
+  type Machine,
+  occupies,
+  type Placement,
+} from './state.js';
+import { type Instant, isService, PRIORITY_LEVEL, seconds } from './types.js';
+
+/** Replicas of critical services go ahead of the queue; those of others wait in it. */
+export const goesFirst = (job: Job): boolean => isService(job) && PRIORITY_LEVEL[job.spec.priority] === 3;
+
+/** A service that only ordinary machines suit. */
+const ordinaryOnly = (job: Job): boolean => isService(job) && !job.spec.spotOk && job.final === 'none';
+
+/** The machine is about to go: replicas on it move. */
+export const isLeaving = (m: Machine): boolean =>
+  (m.noticeUntil !== null || m.draining) && m.lostAt === null && !m.deleting;
+
+/** A replica that keeps its machine from going, or will when it is told to. */
+export const isReplica = (p: Placement): boolean =>
+  p.job !== null && isService(p.job) && p.job.final === 'none' && occupies(p.phase);
+
+const SEEN_FOR_MS = seconds(240);
+
+/**
+ * Processors on ordinary machines that are rented and kept for services that may use no others: what those take that there
+ * are, half as much again, and twice the largest seen of late, so that the next one finds room at once.
+ */
+export const ordinaryNeed = (state: CoreState, now: Instant): number => {
+  let cpus = 0;
+  for (const job of state.jobs.values()) {
+    if (!ordinaryOnly(job)) continue;
+    const size = job.spec.tasks * job.spec.cpus;
+    cpus += size;
+    state.servicesAt = now;
+    state.largestService = Math.max(state.largestService, size);
+  }
+  if (state.servicesAt === null || now - state.servicesAt > SEEN_FOR_MS) {
+    state.largestService = 0;
+    return 0;
+  }
+  return cpus * 1.5 + 2 * state.largestService;
+};
+
+/**
+ * Which ordinary machines arrays that may use cheap ones leave alone. Those that have replicas first, then those that were kept
+ * before, taking turns among the zones, so that a zone that is lost leaves room in the others.
+ */
+export const keepMachines = (state: CoreState, now: Instant): void => {
+  let left = ordinaryNeed(state, now);
+  const byZone = new Map<string, { m: Machine; cpus: number; rank: number }[]>();
+  for (const m of state.machines.values()) {
+    const type = state.types.get(m.type);
+    const was = m.kept;
+    m.kept = false;
+    if (left <= 0 || m.spot || !type || !m.everSeen || isLeaving(m) || m.deaf || m.lostAt !== null) continue;
+    let replicas = 0;
+    for (const p of m.placements.values()) if (isReplica(p)) replicas += 1;
+    const rank = replicas > 0 ? 2 : was ? 1 : 0;
+    const list = byZone.get(m.zone);
+    const item = { m, cpus: type.cpus, rank };
+    if (list) list.push(item);
+    else byZone.set(m.zone, [item]);
+  }
+  const zones = [...byZone.values()];
+  for (const zone of zones) zone.sort((a, b) => b.rank - a.rank || (a.m.id < b.m.id ? -1 : 1));
+  for (let turn = 0; left > 0 && zones.some((zone) => turn < zone.length); turn += 1) {
+    for (const zone of zones) {
+      const item = zone[turn];
+      if (!item || left <= 0) continue;
+      item.m.kept = true;
+      left -= item.cpus;
+    }
+  }
+};
+
+/** What a round knows of a machine with room, as far as services ask. */
+export interface ServiceRoom {
+  readonly machine: Machine;
+  readonly type: { readonly fetchGbPerS: number; readonly cpus: number };
+}
+
+/** How long until a replica would run there: its start goes out with the answer to a check-in, then the image is fetched. */
+const startsInMs = (state: CoreState, job: Job, { machine: m, type }: ServiceRoom, now: Instant): number => {
+  const checkIn = m.ticket ? 0 : Math.max(0, m.lastSeen + state.config.reportMs - now);
+  const fetch = m.images.has(job.spec.image) ? 0 : job.spec.imageGb / Math.max(type.fetchGbPerS, 0.01);
+  return checkIn + fetch * 1000;
+};
+
+/**
+ * The rooms for a service's replicas: where they run soonest, by the second, but one machine after the other, so that the loss of
+ * one takes as few as can be; machines on which one ended of late come last.
+ */
+export function* roomsForReplicas<T extends ServiceRoom>(
+  state: CoreState,
+  job: Job,
+  rooms: readonly T[],
+  now: Instant,
+): Generator<T> {
+  const there = new Map<Machine, number>();
+  for (const held of job.held.values()) {
+    for (const p of held) there.set(p.machine, (there.get(p.machine) ?? 0) + 1);
+  }
+  const order = rooms
+    .map((room) => ({
+      room,
+      failed: job.failedOn.has(room.machine.id) ? 1 : 0,
+      startsIn: Math.floor(startsInMs(state, job, room, now) / 1000),
+      there: there.get(room.machine) ?? 0,
+    }))
+    .sort((a, b) => a.failed - b.failed || a.startsIn - b.startsIn || a.there - b.there);
+  for (let most = 1; order.length > 0 && most <= job.spec.tasks; most += 1) {
+    for (const item of order) if (item.there < most) yield item.room;
+  }
+}
+
+/** A replica may be stopped once room is held for it elsewhere: it starts there when it is proven gone. */
+export const moveAway = (p: Placement): void => {
+  const { checkpointS, saveS } = p.job!.spec;
+  p.kill ??= { graceS: checkpointS > 0 ? saveS + 5 : 0, sentAt: null };
+};
+
+/** Replicas on machines that are about to go, of services that may be placed now. */
+export const replicasToMove = (state: CoreState, now: Instant): Placement[] => {
+  const leaving: Placement[] = [];
+  for (const m of state.machines.values()) {
+    if (!isLeaving(m)) continue;
+    for (const p of m.placements.values()) {
+      if (isReplica(p) && now >= p.job!.retryAt && !failsEverywhere(p.job!)) leaving.push(p);
+    }
+  }
+  return leaving;
+};
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -1,28 +1,38 @@
 /** What the leader knows: jobs, machines and the attempts that may be on them. */
-import type {
-  Attempt,
-  ImageName,
-  Instant,
-  JobId,
-  JobSpec,
-  LedgerEntry,
-  MachineId,
-  MachineType,
-  Millis,
-  Policy,
-  RequestName,
-  SegmentKey,
-  TaskIndex,
-  Team,
-  TeamName,
-  Term,
-  Ticket,
-  TypeName,
-  ZoneName,
+import {
+  type Attempt,
+  type ImageName,
+  type Instant,
+  isService,
+  type JobId,
+  type JobSpec,
+  type LedgerEntry,
+  type MachineId,
+  type MachineType,
+  type Millis,
+  type Policy,
+  type RequestName,
+  type SegmentKey,
+  type TaskIndex,
+  type Team,
+  type TeamName,
+  type Term,
+  type Ticket,
+  type TypeName,
+  type ZoneName,
 } from './types.js';
 
-/** Tasks in one progress record: 2 KiB of bits, well under the state service's value limit. */
-export const CHUNK_TASKS = 8192;
+/** Ledger records tell progress by blocks of this many tasks, and smaller parts by their first task. */
+export const BLOCK_TASKS = 8192;
+/** Tasks in one part where a block does not fit a value of the state service. */
+const SMALL_PART_TASKS = 1024;
+const BLOCK_ROW_BYTES = 1500;
+
+const RECORD_BYTES = 14_000;
+
+/** What a ledger record may hold, by the settings' bound for a value. */
+export const recordBytes = ({ valueBytes }: CoreConfig): number => Math.min(valueBytes * 0.9, RECORD_BYTES);
+
 /** Attempts a term may give out; their numbers hold the term, so none is ever given twice. */
 export const ATTEMPTS_PER_TERM = 1_000_000;
 
@@ -92,6 +102,8 @@
   readonly submittedAt: Instant;
   /** What its tasks ask of a machine: equal for jobs that suit the same machines. */
   readonly needs: string;
+  /** Tasks of which one progress row tells. */
+  readonly partTasks: number;
   readonly chunks: Map<number, Chunk>;
   doneCount: number;
   /** Next task never placed under this term. */
@@ -107,6 +119,8 @@
   readonly failedOn: Set<MachineId>;
   retryAt: Instant;
   failures: number;
+  /** When a task of it last failed. */
+  failedAt: Instant;
   final: 'none' | 'done' | 'cancelled';
   finalSaving: boolean;
   abortTickets: Ticket[];
@@ -160,6 +174,8 @@
   unprovenSince: Instant | null;
   /** It does not hear us: it gets no more work and is replaced. */
   deaf: boolean;
+  /** Kept for services: what may use cheap machines leaves it alone. */
+  kept: boolean;
   ticket: { ticket: Ticket; since: Instant } | null;
 }
 
@@ -177,8 +193,8 @@
 export interface Batch {
   readonly id: number;
   readonly entered: Placement[];
-  readonly chunks: { job: Job; chunk: number; version: number }[];
-  readonly finals: Job[];
+  chunks: { job: Job; chunk: number; version: number }[];
+  finals: Job[];
 }
 
 export interface CoreState {
@@ -215,6 +231,9 @@
   /** The cloud's list was read under this term; before, renting could double what a former leader rented. */
   listRead: boolean;
   lastWorkAt: Instant;
+  /** When there was last a service that may use ordinary machines only, and the most processors that one took. */
+  servicesAt: Instant | null;
+  largestService: number;
   lastTick: Instant;
   lastPlaced: Instant;
   shadowAt: Instant | null;
@@ -247,15 +266,26 @@
   placementDue: false,
   listRead: false,
   lastWorkAt: config.acquiredAt,
+  servicesAt: null,
+  largestService: 0,
   lastTick: config.acquiredAt,
   lastPlaced: config.acquiredAt,
   shadowAt: null,
 });
 
-export const newJob = (spec: JobSpec, submittedAt: Instant): Job => ({
+export const newJob = (spec: JobSpec, submittedAt: Instant, config?: CoreConfig): Job => ({
   spec,
   submittedAt,
-  needs: JSON.stringify([spec.cpus, spec.gpus, spec.memoryGb, spec.types, spec.zone, spec.spotOk]),
+  needs: JSON.stringify([
+    spec.shape,
+    spec.cpus,
+    spec.gpus,
+    spec.memoryGb,
+    spec.types,
+    spec.zone,
+    spec.spotOk,
+  ]),
+  partTasks: config && recordBytes(config) < BLOCK_ROW_BYTES ? SMALL_PART_TASKS : BLOCK_TASKS,
   chunks: new Map(),
   doneCount: 0,
   cursor: 0,
@@ -266,23 +296,35 @@
   failedOn: new Set(),
   retryAt: 0 as Instant,
   failures: 0,
+  failedAt: 0 as Instant,
   final: 'none',
   finalSaving: false,
   abortTickets: [],
   blockedBy: '',
 });
 
+/** A job whose tasks fail on this many machines in a row is tried one task at a time, with pauses. */
+export const SUSPECT_MACHINES = 3;
+
+/** A service's replicas may fail on one machine time and again, where there is no other; one that runs proves it sound. */
+export const failsEverywhere = (job: Job): boolean => {
+  if (!isService(job)) return job.failedOn.size >= SUSPECT_MACHINES;
+  if (job.failures < SUSPECT_MACHINES) return false;
+  for (const held of job.held.values()) if (held.some((p) => p.phase === 'running')) return false;
+  return true;
+};
+
 export const isDone = (job: Job, index: TaskIndex): boolean => {
-  const bits = job.chunks.get(Math.floor(index / CHUNK_TASKS))?.bits;
-  const at = index % CHUNK_TASKS;
+  const bits = job.chunks.get(Math.floor(index / job.partTasks))?.bits;
+  const at = index % job.partTasks;
   return bits !== undefined && ((bits[at >> 3] ?? 0) & (1 << (at & 7))) !== 0;
 };
 
 export const chunkOf = (job: Job, index: TaskIndex): Chunk => {
-  const number = Math.floor(index / CHUNK_TASKS);
+  const number = Math.floor(index / job.partTasks);
   let chunk = job.chunks.get(number);
   if (!chunk) {
-    const size = Math.min(CHUNK_TASKS, job.spec.tasks - number * CHUNK_TASKS);
+    const size = Math.min(job.partTasks, job.spec.tasks - number * job.partTasks);
     chunk = { bits: new Uint8Array(Math.ceil(size / 8)), version: 0, saved: 0, segment: null };
     job.chunks.set(number, chunk);
   }
@@ -449,6 +491,7 @@
   shunUntil: 0 as Instant,
   unprovenSince: null,
   deaf: false,
+  kept: false,
   ticket: null,
 });
 
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -40,8 +40,12 @@
   best_effort: 0,
 };
 
+/** array: each task runs to its end. service: its tasks, the replicas, run until the job is cancelled. */
+export type Shape = 'array' | 'service';
+
 export interface JobSpec {
   readonly id: JobId;
+  readonly shape: Shape;
   readonly lane: string;
   readonly team: TeamName;
   readonly priority: Priority;
@@ -62,6 +66,9 @@
   readonly deadlineS: number | null;
 }
 
+export const isService = ({ spec }: { readonly spec: Pick<JobSpec, 'shape'> }): boolean =>
+  spec.shape === 'service';
+
 export interface MachineType {
   readonly name: TypeName;
   readonly cpus: number;
@@ -158,7 +165,8 @@
 /** Which tasks of a part of a job are done: the whole part each time, so that the newest row says it all. */
 export interface ProgressRow {
   readonly job: JobId;
-  readonly chunk: number;
+  /** The first task that it speaks of, a multiple of 8. */
+  readonly from: number;
   readonly bits: Uint8Array;
 }
 
@@ -217,7 +225,8 @@
   | { readonly kind: 'loaded' }
   | { readonly kind: 'abort'; readonly job: JobId; readonly ticket: Ticket }
   | { readonly kind: 'report'; readonly report: Report; readonly ticket: Ticket | null }
-  | { readonly kind: 'saved'; readonly batch: number }
+  /** `refused`: changes that the state service takes in no size; the others of the batch are stored. */
+  | { readonly kind: 'saved'; readonly batch: number; readonly refused?: readonly SaveOp[] }
   | { readonly kind: 'types'; readonly types: readonly MachineType[] }
   | { readonly kind: 'listed'; readonly askedAt: Instant; readonly machines: readonly ListedMachine[] }
   | {
--- a/src/core/view.ts
+++ b/src/core/view.ts
@@ -1,11 +1,14 @@
 /** What users and teams are told of a job: its state, and why it waits. */
-import { rankWaiting, SUSPECT_MACHINES, teamRoom } from './backfill.js';
-import type { CoreState, Job } from './state.js';
-import type { Instant, JobId, Outcome, TeamName } from './types.js';
+import { rankWaiting, teamRoom } from './backfill.js';
+import { type CoreState, failsEverywhere, type Job } from './state.js';
+import type { Instant, JobId, Outcome, Shape, TeamName } from './types.js';
 
 export interface CoreJobView {
   readonly id: JobId;
   readonly team: TeamName;
+  readonly shape: Shape;
+  /** Its tasks, or the replicas it wants. */
+  readonly tasks: number;
   readonly status: 'queued' | 'running' | Outcome;
   readonly done: number;
   readonly running: number;
@@ -41,6 +44,8 @@
   return {
     id,
     team: job.spec.team,
+    shape: job.spec.shape,
+    tasks: job.spec.tasks,
     status: running > 0 ? 'running' : 'queued',
     done: Math.min(job.doneCount, job.spec.tasks),
     running,
@@ -58,8 +63,11 @@
   return {
     id,
     team: job.spec.team,
+    shape: job.spec.shape,
+    tasks: job.spec.tasks,
     priority: job.spec.priority,
     done: job.doneCount,
+    running: runningTasks(job),
     waitingTasks: job.pending,
     heldTasks: job.held.size,
     waiting: whyWaiting(state, job, now),
@@ -69,7 +77,7 @@
     head: state.head,
     headShadowInS: state.shadowAt === null ? null : Math.max(0, (state.shadowAt - now) / 1000),
     teamLimitLeavesTasks: Math.min(teamRoom(state, job), job.spec.tasks),
-    failsEverywhere: job.failedOn.size >= SUSPECT_MACHINES,
+    failsEverywhere: failsEverywhere(job),
     machinesBooting: booting,
   };
 };
--- a/src/service/controller.ts
+++ b/src/service/controller.ts
@@ -47,16 +47,15 @@
   private stopped = false;
 
   constructor(settings: Settings, policy: Policy, log: Log, jitter: Jitter) {
-    const { rps, writeRps } = settings.stateLimits;
+    const { rps, writeRps, nextRps, nextWriteRps } = settings.stateLimits;
     const nodes = settings.peers.length + 1;
-    const state = new StateClient(settings.state, {
-      rps: (rps * READS_OF_ALL) / nodes,
-      writeRps: (writeRps * ADMISSIONS_OF_ALL) / nodes,
-    });
-    const batchState = new StateClient(settings.state, {
-      rps: rps * BATCH_READS,
-      writeRps: writeRps * BATCH_WRITES,
+    const share = (reads: number, writes: number) => ({
+      rps: rps * reads,
+      writeRps: writeRps * writes,
+      lowered: { rps: nextRps * reads, writeRps: nextWriteRps * writes },
     });
+    const state = new StateClient(settings.state, share(READS_OF_ALL / nodes, ADMISSIONS_OF_ALL / nodes));
+    const batchState = new StateClient(settings.state, share(BATCH_READS, BATCH_WRITES));
     const orderSockets = Math.max(10, Math.floor(settings.quota.maxConnections * ORDER_SOCKETS));
     this.parts = {
       settings,
@@ -146,7 +145,9 @@
       });
       const fresh = await parts.cloud.types();
       if (fresh) use(fresh);
-      if (fresh && (await stored) === 'absent') {
+      // Larger than a value may be, it is left out: the cloud tells it too.
+      const small = Buffer.byteLength(JSON.stringify(fresh)) <= parts.settings.stateLimits.valueBytes;
+      if (fresh && small && (await stored) === 'absent') {
         await parts.state.txn(
           [{ key: TYPES_KEY, revision: 0 as Revision }],
           [{ put: TYPES_KEY, value: fresh }],
--- a/src/service/leadership.ts
+++ b/src/service/leadership.ts
@@ -261,9 +261,9 @@
         return;
       case 'save':
         this.parts.spawn('save', async () => {
-          const stored = await this.persister.save(effect.ops);
+          const refused = await this.persister.save(effect.ops);
           if (!this.current) return;
-          if (stored) this.owner.submit({ kind: 'saved', batch: effect.batch });
+          if (refused) this.owner.submit({ kind: 'saved', batch: effect.batch, refused });
           else this.election.deposed();
         });
         return;
--- a/src/service/persister.ts
+++ b/src/service/persister.ts
@@ -3,14 +3,60 @@
 import type { Log } from '../adapters/log.js';
 import type { Jitter } from '../adapters/random.js';
 import type { Guard, StateClient, Write } from '../adapters/state-client.js';
-import type { Revision, SaveOp, Term } from '../core/types.js';
+import type { Revision, SaveOp, SegmentKey, Term } from '../core/types.js';
 import { finalKey, jobKey, LEADER_KEY, writeFinal, writeSegment } from './records.js';
 
 const NONE = 0 as Revision;
 
+interface Unit {
+  readonly op: SaveOp;
+  readonly writes: readonly Write[];
+}
+
+type SegmentOp = Extract<SaveOp, { kind: 'segment' }>;
+
+/** Two records that say together what one did, under names of their own; null for one that is a single row. */
+const halve = (op: SegmentOp): [SegmentOp, SegmentOp] | null => {
+  const half = <T>(list: readonly T[]): [readonly T[], readonly T[]] => {
+    const at = Math.ceil(list.length / 2);
+    return [list.slice(0, at), list.slice(at)];
+  };
+  const made = (
+    a: Pick<SegmentOp, 'machines' | 'progress'>,
+    b: Pick<SegmentOp, 'machines' | 'progress'>,
+  ): [SegmentOp, SegmentOp] => [
+    { kind: 'segment', key: `${op.key}.0` as SegmentKey, ...a },
+    { kind: 'segment', key: `${op.key}.1` as SegmentKey, ...b },
+  ];
+  const { machines, progress } = op;
+  if (machines.length > 0 && progress.length > 0)
+    return made({ machines, progress: [] }, { machines: [], progress });
+  if (machines.length > 1) {
+    const [a, b] = half(machines);
+    return made({ machines: a, progress }, { machines: b, progress });
+  }
+  if (progress.length > 1) {
+    const [a, b] = half(progress);
+    return made({ machines, progress: a }, { machines, progress: b });
+  }
+  const row = machines[0];
+  if (!row || row.entries.length < 2) return null;
+  const [a, b] = half(row.entries);
+  return made(
+    { machines: [{ ...row, entries: a }], progress },
+    { machines: [{ ...row, entries: b }], progress },
+  );
+};
+
 export class Persister {
   /** Version of each key that this leader has read or written. */
   readonly stamps = new Map<string, Revision>();
+  /** Changes that the service is known to take at once, where it takes fewer than any setting said. */
+  private mostChanges = Number.POSITIVE_INFINITY;
+  /** Records that had to be cut, by the name the core knows. */
+  private readonly pieces = new Map<SegmentKey, SegmentKey[]>();
+  private cuts = 0;
+  private toldTooLarge = false;
   private stopped = false;
 
   constructor(
@@ -24,25 +70,98 @@
     this.stopped = true;
   }
 
-  private writesOf(ops: readonly SaveOp[]): Write[] {
-    const writes: Write[] = [];
+  /** What must be written together; each unit may be written apart from the others, in their order. */
+  private unitsOf(ops: readonly SaveOp[]): Unit[] {
+    const units: Unit[] = [];
     for (const op of ops) {
       if (op.kind === 'final') {
-        writes.push({ put: finalKey(op.job), value: writeFinal(op) });
-        writes.push({ del: jobKey(op.job) });
+        const writes: Write[] = [{ put: finalKey(op.job), value: writeFinal(op) }, { del: jobKey(op.job) }];
+        units.push({ op, writes });
       } else if (op.kind === 'segment') {
-        writes.push({ put: op.key, value: writeSegment(op) });
-      } else if (this.stamps.has(op.key)) {
-        writes.push({ del: op.key });
+        units.push({ op, writes: [{ put: op.key, value: writeSegment(op) }] });
+      } else {
+        for (const key of this.pieces.get(op.key) ?? [op.key]) {
+          if (this.stamps.has(key)) units.push({ op, writes: [{ del: key }] });
+        }
+        this.pieces.delete(op.key);
+      }
+    }
+    return units;
+  }
+
+  /**
+   * Null when the right to write is lost; else what the state service takes in no size, while all the rest is stored. Until
+   * it knows, it goes on trying.
+   */
+  async save(ops: readonly SaveOp[]): Promise<readonly SaveOp[] | null> {
+    const refused: SaveOp[] = [];
+    const rest = this.unitsOf(ops);
+    while (rest.length > 0) {
+      // As much as the service is known to take at once.
+      let n = 0;
+      for (let changes = 0; n < rest.length; n += 1) {
+        changes += rest[n]!.writes.length;
+        if (n > 0 && changes > this.mostChanges) break;
       }
+      if (!(await this.store(rest.splice(0, n), refused))) return null;
     }
-    return writes;
+    return refused;
+  }
+
+  /**
+   * Stores these in one transaction, or in smaller ones where the service refuses it as too large: its limits may have fallen
+   * below what any setting said. What was refused is never sent again unchanged. False when the right to write is lost.
+   */
+  private async store(units: readonly Unit[], refused: SaveOp[]): Promise<boolean> {
+    const outcome = await this.write(units.flatMap((unit) => unit.writes));
+    if (outcome !== 'too-large') return outcome === 'stored';
+    if (!this.toldTooLarge) {
+      this.toldTooLarge = true;
+      const changes = units.reduce((sum, unit) => sum + unit.writes.length, 0);
+      this.log.info({ changes }, 'the state service refuses a batch as too large: cutting it smaller');
+    }
+    if (units.length > 1) {
+      const half = Math.ceil(units.length / 2);
+      const before = refused.length;
+      const cuts = this.cuts;
+      if (!(await this.store(units.slice(0, half), refused))) return false;
+      if (!(await this.store(units.slice(half), refused))) return false;
+      // Where each half was taken as it is, the number of changes was at fault.
+      if (refused.length === before && this.cuts === cuts) {
+        const changes = units.slice(0, half).reduce((sum, unit) => sum + unit.writes.length, 0);
+        this.mostChanges = Math.min(this.mostChanges, changes);
+      }
+      return true;
+    }
+    this.cuts += 1;
+    const { op } = units[0]!;
+    const halves = op.kind === 'segment' ? halve(op) : null;
+    if (!halves) {
+      this.log.error({ op: op.kind }, 'the state service takes a change in no size');
+      refused.push(op);
+      return true;
+    }
+    const whole = op.kind === 'segment' ? op.key : null;
+    for (const half of halves) {
+      if (
+        !(await this.store([{ op: half, writes: [{ put: half.key, value: writeSegment(half) }] }], refused))
+      )
+        return false;
+      if (whole !== null) this.notePieces(whole, half.key);
+    }
+    return true;
+  }
+
+  /** The core knows a record by one name; what it was cut into goes when it goes. */
+  private notePieces(whole: SegmentKey, piece: SegmentKey): void {
+    const known = this.pieces.get(whole) ?? [];
+    for (const key of this.pieces.get(piece) ?? [piece]) known.push(key);
+    this.pieces.delete(piece);
+    this.pieces.set(whole, known);
   }
 
-  /** True once stored; false when the right to write is lost. Until then it goes on trying. */
-  async save(ops: readonly SaveOp[]): Promise<boolean> {
-    const writes = this.writesOf(ops);
-    if (writes.length === 0) return true;
+  /** Tries until it is known whether these were written. */
+  private async write(writes: readonly Write[]): Promise<'stored' | 'lost' | 'too-large'> {
     const keys = writes.map((w) => ('del' in w ? w.del : w.put));
     for (let tries = 0; !this.stopped; tries += 1) {
       const guards: Guard[] = [{ key: LEADER_KEY, revision: this.term as number as Revision }];
@@ -50,15 +169,13 @@
       const result = await this.state.txn(guards, writes, 5000);
       if (typeof result === 'object') {
         this.remember(writes, result.revision);
-        return true;
+        return 'stored';
       }
+      if (result === 'too-large') return result;
       if (result === 'conflict' || result === 'unknown') {
         // An unanswered write may have been carried out: the first key's version tells.
         const seen = await this.lookUp(writes, keys);
-        if (seen === 'lost') return false;
-        if (seen === 'stored') return true;
-      } else if (result === 'expired') {
-        this.log.info({ keys }, 'the state service finds the batch malformed');
+        if (seen !== 'not-yet') return seen;
       }
       await sleep(
         this.jitter.around(
@@ -66,7 +183,7 @@
         ),
       );
     }
-    return false;
+    return 'lost';
   }
 
   private remember(writes: readonly Write[], revision: Revision): void {
--- a/src/service/records.ts
+++ b/src/service/records.ts
@@ -1,6 +1,6 @@
 /** What the state service holds, and under which keys. Every record read back is checked. */
 import * as v from 'valibot';
-import { SEGMENTS } from '../core/state.js';
+import { BLOCK_TASKS, SEGMENTS } from '../core/state.js';
 import type {
   Attempt,
   JobId,
@@ -11,6 +11,7 @@
   MachineType,
   Outcome,
   ProgressRow,
+  Shape,
   TaskIndex,
   TeamName,
   TypeName,
@@ -59,7 +60,12 @@
   saveS: amount,
   deadlineS: v.nullable(amount),
 });
-const jobSchema = v.object({ at: v.number(), spec: specSchema });
+/**
+ * A service stands under another name than an array: the version before this one, which would run it as an array and call it
+ * done, finds the record unreadable, takes the job for known and leaves it alone.
+ */
+const arraySchema = v.object({ at: v.number(), spec: specSchema });
+const serviceSchema = v.object({ at: v.number(), service: specSchema });
 
 export interface JobRecord {
   /** Time of day at which it was accepted. */
@@ -67,11 +73,23 @@
   readonly spec: JobSpec;
 }
 
+export const writeJob = ({ at, spec }: JobRecord) => {
+  const { shape, ...rest } = spec;
+  return shape === 'service' ? { at, service: rest } : { at, spec: rest };
+};
+
 export const readJob = (value: unknown): JobRecord | null => {
-  const r = v.safeParse(jobSchema, value);
-  return r.success ? (r.output as unknown as JobRecord) : null;
+  const array = v.safeParse(arraySchema, value);
+  if (array.success) return jobRecord(array.output.at, 'array', array.output.spec);
+  const service = v.safeParse(serviceSchema, value);
+  return service.success ? jobRecord(service.output.at, 'service', service.output.service) : null;
 };
 
+const jobRecord = (at: number, shape: Shape, spec: object): JobRecord => ({
+  at,
+  spec: { ...spec, shape } as JobSpec,
+});
+
 const typesSchema = v.array(
   v.object({
     name: v.string(),
@@ -113,18 +131,24 @@
   m: v.array(
     v.tuple([v.string(), v.string(), v.string(), v.boolean(), v.array(v.tuple([whole, whole, whole]))]),
   ),
-  /** [job, part, bits of done tasks in base64] */
+  /** [job, block, bits of done tasks in base64] */
   d: v.array(v.tuple([v.string(), whole, v.string()])),
+  /**
+   * [job, first task, bits], where a block does not fit a value. A version that does not know it runs these tasks again;
+   * they end at once, since workers keep results.
+   */
+  e: v.optional(v.array(v.tuple([v.string(), whole, v.string()])), []),
 });
+type Segment = v.InferInput<typeof segmentSchema>;
 
 export interface SegmentRecord {
   readonly machines: readonly LedgerRow[];
   readonly progress: readonly ProgressRow[];
 }
 
-export const writeSegment = ({ machines, progress }: SegmentRecord): v.InferOutput<typeof segmentSchema> => {
+export const writeSegment = ({ machines, progress }: SegmentRecord): Segment => {
   const rows = new Map<JobId, number>();
-  const j: v.InferOutput<typeof segmentSchema>['j'] = [];
+  const j: Segment['j'] = [];
   const rowOf = (e: LedgerEntry): number => {
     let row = rows.get(e.job);
     if (row === undefined) {
@@ -133,6 +157,9 @@
     }
     return row;
   };
+  const bits = (p: ProgressRow) => Buffer.from(p.bits).toString('base64');
+  const atBlock = (p: ProgressRow) => p.from % BLOCK_TASKS === 0;
+  const parts = progress.filter((p) => !atBlock(p));
   return {
     j,
     m: machines.map(({ machine, at, entries }) => [
@@ -142,7 +169,8 @@
       at.spot,
       entries.map((e) => [rowOf(e), e.index, e.attempt]),
     ]),
-    d: progress.map((p) => [p.job, p.chunk, Buffer.from(p.bits).toString('base64')]),
+    d: progress.filter(atBlock).map((p) => [p.job, p.from / BLOCK_TASKS, bits(p)]),
+    ...(parts.length > 0 ? { e: parts.map((p) => [p.job, p.from, bits(p)]) } : {}),
   };
 };
 
@@ -150,7 +178,7 @@
 export const readSegment = (value: unknown): SegmentRecord | null => {
   const r = v.safeParse(segmentSchema, value);
   if (!r.success) return null;
-  const { j, m, d } = r.output;
+  const { j, m, d, e } = r.output;
   if (m.some(([, , , , entries]) => entries.some(([row]) => row >= j.length))) return null;
   const machines = m.map(([machine, type, zone, spot, entries]) => ({
     machine: machine as MachineId,
@@ -168,10 +196,14 @@
       };
     }),
   }));
-  const progress = d.map(([job, chunk, bits]) => ({
+  const row = (job: string, from: number, bits: string): ProgressRow => ({
     job: job as JobId,
-    chunk,
+    from,
     bits: new Uint8Array(Buffer.from(bits, 'base64')),
-  }));
+  });
+  const progress = [
+    ...d.map(([job, block, bits]) => row(job, block * BLOCK_TASKS, bits)),
+    ...e.map(([job, from, bits]) => row(job, from, bits)),
+  ];
   return { machines, progress };
 };
--- a/src/service/users.ts
+++ b/src/service/users.ts
@@ -4,13 +4,21 @@
 import type { Peer } from '../adapters/peer-link.js';
 import type { Guard, Write } from '../adapters/state-client.js';
 import type { JobView } from '../adapters/wire.js';
-import type { JobId, JobSpec, Revision, TeamName } from '../core/types.js';
+import { isService, type JobId, type JobSpec, type Revision, type TeamName } from '../core/types.js';
 import { explainJob, viewJob } from '../core/view.js';
 import type { Election } from './election.js';
 import type { Gossip } from './gossip.js';
 import type { Leadership } from './leadership.js';
 import type { Parts } from './parts.js';
-import { type FinalRecord, finalKey, type JobRecord, jobKey, readFinal, readJob } from './records.js';
+import {
+  type FinalRecord,
+  finalKey,
+  type JobRecord,
+  jobKey,
+  readFinal,
+  readJob,
+  writeJob,
+} from './records.js';
 
 /** Final states kept in memory; older ones are read from the state service again. */
 const MAX_FINALS = 20_000;
@@ -34,6 +42,9 @@
   status: v.picklist(['queued', 'running', 'done', 'cancelled']),
   done: v.number(),
   running: v.number(),
+  // A controller of the version before this one does not say these.
+  shape: v.optional(v.picklist(['array', 'service'])),
+  tasks: v.optional(v.number()),
   waiting: v.optional(v.string()),
 });
 
@@ -53,6 +64,21 @@
   running: 0,
 });
 
+const waitingView = ({ id, team, shape, tasks }: JobSpec): JobView => ({
+  id,
+  team,
+  shape,
+  tasks,
+  status: 'queued',
+  done: 0,
+  running: 0,
+});
+
+const TOO_LARGE = {
+  kind: 'impossible',
+  reason: 'the description is larger than what the state service takes',
+} as const;
+
 export class Users {
   private readonly finals = new Map<JobId, FinalRecord>();
   private turn = 0;
@@ -83,6 +109,9 @@
     const no = (reason: string) => ({ kind: 'impossible' as const, reason });
     if (!team) return no(`unknown team ${spec.team}`);
     if (spec.cpus > team.cpusMax || spec.gpus > team.gpusMax) return no("a task exceeds the team's limit");
+    const replicas = isService({ spec }) ? spec.tasks : 1;
+    if (spec.cpus * replicas > team.cpusMax || spec.gpus * replicas > team.gpusMax)
+      return no("all replicas together exceed the team's limit");
     const fits = (this.parts.types ?? []).some(
       (t) =>
         (!spec.types || spec.types.includes(t.name)) &&
@@ -103,8 +132,8 @@
     const fault = this.fault(parsed);
     if (fault) return this.refuse(id, fault);
     const record: JobRecord = { at: Date.now(), spec: parsed };
-    if (Buffer.byteLength(JSON.stringify(record)) > this.parts.settings.stateLimits.valueBytes) {
-      return { kind: 'malformed', reason: 'description too large' };
+    if (Buffer.byteLength(JSON.stringify(writeJob(record))) > this.parts.settings.stateLimits.valueBytes) {
+      return this.refuse(id, TOO_LARGE);
     }
     return this.parts.state.down
       ? this.admitElsewhere(record, this.gossip.helper())
@@ -112,14 +141,14 @@
   }
 
   async admit(record: JobRecord, mayAsk: boolean): Promise<Submitted> {
-    const { id, team } = record.spec;
+    const { id } = record.spec;
     const key = jobKey(id);
     const none = 0 as Revision;
     const guards: Guard[] = [
       { key, revision: none },
       { key: finalKey(id), revision: none },
     ];
-    const writes: Write[] = [{ put: key, value: record }];
+    const writes: Write[] = [{ put: key, value: writeJob(record) }];
     const write = () => this.parts.state.txn(guards, writes, ADMIT_WAIT_MS, ADMIT_MS);
     let result = await write();
     for (let i = 1; i < ADMIT_TRIES && result === 'refused' && !this.parts.state.down; i += 1) {
@@ -134,8 +163,10 @@
     }
     if (typeof result === 'object') {
       this.leading()?.admitted(record, result.revision);
-      return { kind: 'accepted', view: { id, team, status: 'queued', done: 0, running: 0 } };
+      return { kind: 'accepted', view: waitingView(record.spec) };
     }
+    // The limits have fallen below what any setting said.
+    if (result === 'too-large') return this.refuse(id, TOO_LARGE);
     if (result === 'conflict' || (result === 'unknown' && !this.parts.state.down)) {
       const view = await this.storedView(id);
       if (typeof view === 'object') return { kind: 'known', view };
@@ -145,7 +176,7 @@
 
   /** Cut off from the state service alone, a node has a peer write the job; it says 201 only on that peer's word. */
   private async admitElsewhere(record: JobRecord, helper: Peer | null): Promise<Submitted> {
-    const answer = await helper?.ask({ ask: 'admit', record }, ADMIT_MS);
+    const answer = await helper?.ask({ ask: 'admit', record: writeJob(record) }, ADMIT_MS);
     const r = v.safeParse(admittedSchema, answer);
     if (r.success && r.output.view.id === record.spec.id) return r.output as Submitted;
     return { kind: 'later', reason: 'state service away' };
@@ -179,9 +210,11 @@
     // In this order: a job's record and its final one change places in a single transaction.
     const job = await this.parts.state.get(jobKey(id));
     if (typeof job === 'object') {
+      const record = readJob(job.value);
+      const waiting = 'no leader to ask';
+      if (record) return { ...waitingView(record.spec), id, waiting };
       // A record that cannot be read still says that the job was accepted.
-      const team = readJob(job.value)?.spec.team ?? ('' as TeamName);
-      return { id, team, status: 'queued', done: 0, running: 0, waiting: 'no leader to ask' };
+      return { id, team: '' as TeamName, status: 'queued', done: 0, running: 0, waiting };
     }
     if (job !== 'absent') return 'later';
     const final = await this.parts.state.get(finalKey(id));
--- a/test/ledger.test.ts
+++ b/test/ledger.test.ts
@@ -49,7 +49,7 @@
       machines: [
         { machine: 'n-1' as MachineId, at: recordedAt, entries: [entry(0, 5), entry(3, 6, 'job-2')] },
       ],
-      progress: [{ job: 'job-1' as JobId, chunk: 0, bits: Uint8Array.of(5, 1) }],
+      progress: [{ job: 'job-1' as JobId, from: 0, bits: Uint8Array.of(5, 1) }],
     };
     const text = JSON.stringify(writeSegment(given));
     expect(readSegment(JSON.parse(text))).toEqual(given);
--- a/test/model/build.ts
+++ b/test/model/build.ts
@@ -25,6 +25,7 @@
 export const job = (id: string, change: Partial<Record<keyof JobSpec, unknown>> = {}): JobSpec =>
   ({
     id: id as JobId,
+    shape: 'array',
     lane: 'any',
     team: 'blue' as TeamName,
     priority: 'standard',
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -428,12 +428,13 @@
 });
 
 describe('the persister', () => {
+  const RATES = { rps: 1000, writeRps: 1000 };
   const setUp = async () => {
     const state = new StateService();
     cleanups.push(() => state.close());
     const at = await state.listen();
     const [host, port] = at.split(':');
-    const client = new StateClient({ host: host!, port: Number(port) }, { rps: 1000, writeRps: 1000 });
+    const client = new StateClient({ host: host!, port: Number(port) }, { ...RATES, lowered: RATES });
     cleanups.push(() => client.close());
     state.multi({ Apply: [{ Write: 'leader', Data: {} }] });
     const persister = new Persister(client, state.epoch as Term, log, new Jitter(3));
@@ -444,15 +445,15 @@
     kind: 'segment',
     key: key(n),
     machines: [],
-    progress: [{ job: 'job-1' as JobId, chunk: 0, bits: Uint8Array.of(bits) }],
+    progress: [{ job: 'job-1' as JobId, from: 0, bits: Uint8Array.of(bits) }],
   });
 
   it('finds out by reading back that an unanswered write was carried out', async () => {
     const { state, persister } = await setUp();
     state.swallow = 1;
-    expect(await persister.save([segment(1)])).toBe(true);
+    expect(await persister.save([segment(1)])).toEqual([]);
     expect(state.transactions).toBe(1);
-    expect(await persister.save([segment(3), { kind: 'segment-gone', key: key(1) }])).toBe(true);
+    expect(await persister.save([segment(3), { kind: 'segment-gone', key: key(1) }])).toEqual([]);
     expect(state.keys.get(key(3))?.data).toMatchObject({ d: [['job-1', 0, 'Aw==']] });
     expect(state.keys.has(key(1))).toBe(false);
   });
@@ -460,7 +461,7 @@
   it('writes again what was not carried out', async () => {
     const { state, persister } = await setUp();
     state.drop = 2;
-    expect(await persister.save([segment(1)])).toBe(true);
+    expect(await persister.save([segment(1)])).toEqual([]);
     expect(state.transactions).toBe(3);
   });
 
@@ -468,7 +469,7 @@
     const { state, persister } = await setUp();
     state.multi({ Apply: [{ Write: 'leader', Data: { node: 'other' } }] });
     const gone: SaveOp = { kind: 'segment-gone', key: key(9) };
-    expect(await persister.save([segment(1), gone])).toBe(false);
+    expect(await persister.save([segment(1), gone])).toBeNull();
     expect(state.keys.has(key(1))).toBe(false);
   });
 
--- a/test/troubles.test.ts
+++ b/test/troubles.test.ts
@@ -150,11 +150,11 @@
       0 as Instant,
       'lead',
     );
-    for (const chunk of [-1, 1, 7, Number.NaN, 0.5]) {
+    for (const from of [-8, 8, 4, 8192, Number.NaN, 0.5]) {
       const bits = Uint8Array.of(255);
       step(
         state,
-        [{ kind: 'progress', segment: SEGMENT, job: 'job-1' as JobId, chunk, bits }],
+        [{ kind: 'progress', segment: SEGMENT, job: 'job-1' as JobId, from, bits }],
         0 as Instant,
         'lead',
       );
