--- a/test/backfill.test.ts
+++ b/test/backfill.test.ts
@@ -7,8 +7,10 @@
 import {
   type Attempt,
   type Instant,
+  isService,
   type MachineId,
   PRIORITY_LEVEL,
+  type Ticket,
   type TypeName,
   type ZoneName,
 } from '../src/core/types.js';
@@ -24,6 +26,7 @@
 
 const drawnJob = fc.record({
   age: fc.integer({ min: 0, max: 600 }),
+  shape: fc.constantFrom('array' as const, 'array' as const, 'array' as const, 'service' as const),
   priority: fc.constantFrom(
     'critical' as const,
     'urgent' as const,
@@ -42,11 +45,15 @@
   spotOk: fc.boolean(),
   estimateS: fc.integer({ min: 1, max: 90 }),
   deadlineS: fc.option(fc.integer({ min: 10, max: 900 })),
+  imageGb: fc.constantFrom(0, 0, 1.5, 3),
 });
 const drawnMachine = fc.record({
   type: fc.constantFrom(...TYPES.map((t) => t.name as string)),
   zone: fc.constantFrom('a', 'b'),
   spot: fc.boolean(),
+  kept: fc.boolean(),
+  heardAgoMs: fc.constantFrom(0, 700, 2100),
+  waits: fc.boolean(),
 });
 const drawnWorld = fc.record({
   jobs: fc.array(drawnJob, { minLength: 1, maxLength: 8 }),
@@ -88,10 +95,16 @@
   drawn.machines.forEach((m, i) => {
     const t = TYPES.find((x) => x.name === m.type)!;
     const id = `n-${i}`;
-    world.machines.push({ id, ...m, cpus: t.cpus, gpus: t.gpus, memoryGb: t.memoryGb });
+    const checkInMs = m.waits ? 0 : Math.max(0, state.config.reportMs - m.heardAgoMs);
+    const { cpus, gpus, memoryGb, fetchGbPerS } = t;
+    world.machines.push({ id, ...m, cpus, gpus, memoryGb, fetchGbPerS, checkInMs });
     const at = { endpoint: '', type: m.type as TypeName, zone: m.zone as ZoneName, spot: m.spot };
     const made = newMachine(id as MachineId, at, 0 as Instant, NOW as Instant);
     made.ready = true;
+    made.everSeen = true;
+    made.kept = m.kept;
+    made.lastSeen = (NOW - m.heardAgoMs) as Instant;
+    if (m.waits) made.ticket = { ticket: 1 as Ticket, since: NOW as Instant };
     state.machines.set(made.id, made);
   });
   drawn.running.forEach((r, i) => {
@@ -115,8 +128,9 @@
     };
     hold(state, p);
     m.images.add(j.spec.image);
-    const end = Math.max(startedAt + estimateS * 1000, NOW + Math.max(1000, (estimateS * 1000) / 4));
-    world.runs.push({ job: id, machine: m.id, end });
+    const by = Math.max(startedAt + estimateS * 1000, NOW + Math.max(1000, (estimateS * 1000) / 4));
+    const end = isService(j) ? Number.POSITIVE_INFINITY : by;
+    world.runs.push({ job: id, machine: m.id, ranMs: NOW - startedAt, end });
   });
   return { state, world };
 };
@@ -125,6 +139,9 @@
   it('starts what the plain model starts, on the same machines, around the same head', () => {
     let starts = 0;
     let reservations = 0;
+    let replicas = 0;
+    let stops = 0;
+    let kept = 0;
     fc.assert(
       fc.property(drawnWorld, (drawn) => {
         const { state, world } = worldOf(drawn);
@@ -133,22 +150,33 @@
         const placed = real.placed.map((p) => `${p.entry.job}@${p.machine.id}`);
         expect(placed).toEqual(plain.starts);
         expect(state.head).toBe(plain.head);
+        const stopped = [...state.machines.values()].flatMap((m) =>
+          [...m.placements.values()].filter((p) => p.kill).map((p) => `${p.entry.job}@${m.id}`),
+        );
+        expect(stopped.sort()).toEqual(plain.stopped.sort());
+        stops += stopped.length;
+        replicas += real.placed.filter((p) => isService(p.job!)).length;
+        kept += [...state.machines.values()].filter((m) => m.kept).length;
         starts += placed.length;
         if (state.shadowAt !== null) reservations += 1;
       }),
-      { seed: 20261, numRuns: 1500 },
+      { seed: 20261, numRuns: 3000 },
     );
     // The comparison means something only where both have had something to decide.
     expect(starts).toBeGreaterThan(1000);
     expect(reservations).toBeGreaterThan(100);
+    expect(replicas).toBeGreaterThan(300);
+    expect(stops).toBeGreaterThan(50);
+    expect(kept).toBeGreaterThan(300);
   });
 
   /** A fleet that is mostly busy, with more waiting than fits; what a round looks at is counted. */
-  const fleet = (machines: number, jobs: number, largest: number, running: number) => {
+  const fleet = (machines: number, jobs: number, largest: number, running: number, services = false) => {
     const kinds = ['small', 'big', 'big'];
     const drawn: DrawnWorld = {
       jobs: Array.from({ length: jobs }, (_, i) => ({
         age: (i * 37) % 300,
+        shape: services && i % 6 === 3 && i < 200 ? 'service' : 'array',
         priority: (['critical', 'best_effort', 'standard'] as const)[i % 3]!,
         team: i % 2 ? 'green' : 'blue',
         tasks: i === 0 ? largest : 1 + ((i * 7) % 50),
@@ -162,11 +190,15 @@
         spotOk: true,
         estimateS: 10 + ((i * 13) % 60),
         deadlineS: i % 3 === 0 ? 60 : null,
+        imageGb: ([0, 1.5, 3] as const)[i % 3]!,
       })),
       machines: Array.from({ length: machines }, (_, i) => ({
         type: kinds[i % 3]!,
         zone: i % 2 ? 'a' : 'b',
         spot: i % 9 !== 0,
+        kept: false,
+        heardAgoMs: 0,
+        waits: i % 2 === 0,
       })),
       running: Array.from({ length: running }, (_, i) => ({ job: i, machine: i, startedAgo: i % 30 })),
       head: 0,
@@ -197,17 +229,20 @@
     expect(real.placed.length).toBeGreaterThan(50);
   });
 
-  it('does work that grows with the fleet, not with its square', () => {
-    // The head has more than ever fits, so that it reserves.
-    const once = fleet(990, 200, 5000, 2970);
-    const twice = fleet(1980, 400, 10_000, 5940);
-    const placed = [once, twice].map(({ state }) => runRound(state, NOW as Instant).placed.length);
-    expect(Math.min(...placed)).toBeGreaterThan(1000);
-    for (const { state } of [once, twice]) expect(state.shadowAt).not.toBeNull();
-    expect(twice.looked()).toBeLessThan(2.6 * once.looked());
-    // Far from every waiting task with every machine.
-    expect(once.looked()).toBeLessThan(60 * 990);
-  });
+  it.each([false, true])(
+    'does work that grows with the fleet, not with its square (services: %s)',
+    (services) => {
+      // The head has more than ever fits, so that it reserves.
+      const once = fleet(990, 200, 5000, 2970, services);
+      const twice = fleet(1980, 400, 10_000, 5940, services);
+      const placed = [once, twice].map(({ state }) => runRound(state, NOW as Instant).placed.length);
+      expect(Math.min(...placed)).toBeGreaterThan(1000);
+      for (const { state } of [once, twice]) expect(state.shadowAt).not.toBeNull();
+      expect(twice.looked()).toBeLessThan(2.6 * once.looked());
+      // Far from every waiting task with every machine.
+      expect(once.looked()).toBeLessThan(60 * 990);
+    },
+  );
 
   it('keeps the head at the top until it has started, whatever arrives', () => {
     const state = core();
--- a/test/model/plain-backfill.ts
+++ b/test/model/plain-backfill.ts
@@ -4,6 +4,7 @@
  */
 export interface PlainJob {
   id: string;
+  shape: 'array' | 'service';
   submittedAt: number;
   /** 3 for critical down to 0 for best effort. */
   level: number;
@@ -19,6 +20,7 @@
   spotOk: boolean;
   estimateS: number;
   deadlineS: number | null;
+  imageGb: number;
 }
 
 export interface PlainMachine {
@@ -29,12 +31,19 @@
   cpus: number;
   gpus: number;
   memoryGb: number;
+  /** Kept for services up to now. */
+  kept: boolean;
+  /** Milliseconds until its next check-in, by which starts go out. */
+  checkInMs: number;
+  fetchGbPerS: number;
 }
 
 export interface PlainRun {
   job: string;
   machine: string;
-  /** When it should end by its estimate. */
+  /** How long it has run, in milliseconds. */
+  ranMs: number;
+  /** When it should end by its estimate; replicas have no end. */
   end: number;
 }
 
@@ -67,7 +76,7 @@
 ): number => {
   const age = ((world.now - job.submittedAt) / 3_600_000) * world.ageFactor;
   let deadline = 0;
-  if (job.deadlineS !== null) {
+  if (job.deadlineS !== null && job.shape === 'array') {
     const due = job.submittedAt + job.deadlineS * 1000;
     const over = world.k * job.estimateS * 1000;
     const end = world.now + job.estimateS * 1000;
@@ -91,15 +100,19 @@
   }
   // An array's estimate, for shortness, is that of its waiting tasks one after the other.
   const work = (j: PlainJob) => j.estimateS * left(j);
-  const shortest = Math.min(...waiting.map(work));
-  const short = world.shortnessWeight * (work(job) > 0 ? shortest / work(job) : 1);
+  const shortest = Math.min(...waiting.filter((j) => j.shape === 'array').map(work));
+  // A service never ends: it is never the shortest.
+  const share = job.shape === 'service' ? 0 : work(job) > 0 ? shortest / work(job) : 1;
+  const short = world.shortnessWeight * share;
   return age + deadline + scarcity + short + world.levelWeight * job.level;
 };
 
 /** Starts of one round, as "job@machine", in order, and who heads the queue. */
-export const plainRound = (world: PlainWorld): { starts: string[]; head: string | null } => {
+export const plainRound = (
+  world: PlainWorld,
+): { starts: string[]; head: string | null; stopped: string[] } => {
   const job = (id: string) => world.jobs.find((j) => j.id === id)!;
-  const runs = [...world.runs];
+  const runs = world.runs.map((r) => ({ ...r }));
   const left = (j: PlainJob) => j.tasks - runs.filter((r) => r.job === j.id).length;
   const waiting = world.jobs.filter((j) => left(j) > 0);
   const scores = new Map(waiting.map((j) => [j.id, plainScore(world, j, waiting, left)]));
@@ -107,8 +120,11 @@
     (a, b) =>
       scores.get(b.id)! - scores.get(a.id)! || a.submittedAt - b.submittedAt || (a.id < b.id ? -1 : 1),
   );
-  const head = waiting.find((j) => j.id === world.head) ?? waiting[0];
-  if (!head) return { starts: [], head: null };
+  const arrays = waiting.filter((j) => j.shape === 'array');
+  const head = arrays.find((j) => j.id === world.head) ?? arrays[0];
+  const stopped: string[] = [];
+  if (waiting.length === 0) return { starts: [], head: null, stopped };
+  const goesFirst = (j: PlainJob) => j.shape === 'service' && j.level === 3;
 
   const sum = (list: PlainRun[], what: 'cpus' | 'gpus' | 'memoryGb') =>
     list.reduce((total, r) => total + job(r.job)[what], 0);
@@ -131,7 +147,29 @@
   };
   const zonesOf = (j: PlainJob) =>
     runs.filter((r) => r.job === j.id).map((r) => world.machines.find((m) => m.id === r.machine)!.zone);
+
+  // Ordinary machines are kept for the services that may use no others: what these take and half as much again, and twice the
+  // largest; of each zone in turn, those with replicas first, then those kept before.
+  const dear = world.jobs.filter((j) => j.shape === 'service' && !j.spotOk);
+  const sizes = dear.map((j) => j.tasks * j.cpus);
+  let toKeep = 1.5 * sizes.reduce((a, b) => a + b, 0) + 2 * Math.max(0, ...sizes);
+  const kept = new Set<PlainMachine>();
+  const ordinary = world.machines.filter((m) => !m.spot);
+  const has = (m: PlainMachine) => on(m).some((r) => job(r.job).shape === 'service');
+  const keepRank = (m: PlainMachine) => (has(m) ? 2 : m.kept ? 1 : 0);
+  for (let turn = 0; turn < ordinary.length; turn += 1) {
+    for (const z of [...new Set(ordinary.map((m) => m.zone))]) {
+      const list = ordinary.filter((m) => m.zone === z);
+      list.sort((a, b) => keepRank(b) - keepRank(a) || (a.id < b.id ? -1 : 1));
+      const m = list[turn];
+      if (!m || toKeep <= 0) continue;
+      kept.add(m);
+      toKeep -= m.cpus;
+    }
+  }
+
   const suits = (j: PlainJob, m: PlainMachine) =>
+    (j.shape === 'service' || !j.spotOk || !kept.has(m)) &&
     (j.types === null || j.types.includes(m.type)) &&
     (j.zone === null || j.zone === m.zone) &&
     (j.spotOk || !m.spot) &&
@@ -145,6 +183,7 @@
     a.gpus === b.gpus && a.cpus === b.cpus && a.memoryGb === b.memoryGb;
 
   const starts: string[] = [];
+  const killed: PlainRun[] = [];
   let shadow = 0;
   // What the head will have taken, and who will have ended, at the shadow time.
   let reserved: PlainRun[] = [];
@@ -152,6 +191,15 @@
   const lasting: PlainRun[] = [];
   const fill = (j: PlainJob, most = Infinity) => {
     let begun = 0;
+    const count = (m: PlainMachine) => runs.filter((r) => r.job === j.id && r.machine === m.id).length;
+    // A replica would run there in so many seconds.
+    const startsIn = new Map(
+      world.machines.map((m) => [
+        m.id,
+        Math.floor((m.checkInMs + (count(m) > 0 ? 0 : (j.imageGb / m.fetchGbPerS) * 1000)) / 1000),
+      ]),
+    );
+    const before = new Map(world.machines.map((m) => [m.id, count(m)]));
     let zone: string | null = null;
     if (j.oneZone && zonesOf(j).length === 0) {
       const slots = new Map<string, number>();
@@ -163,16 +211,18 @@
       for (const [z, n] of slots) if (zone === null || n > slots.get(zone)!) zone = z;
     }
     while (left(j) > 0 && teamSlots(j) >= 1 && begun < most) {
-      const end = world.now + j.estimateS * 1000;
+      const end = j.shape === 'service' ? Infinity : world.now + j.estimateS * 1000;
       const able = strongest.filter((x) => {
         if (!suits(j, x) || (zone !== null && x.zone !== zone) || !fits(j, x, used(x))) return false;
         if (shadow === 0 || end <= shadow) return true;
-        const before = world.runs.filter((r) => r.machine === x.id && !ended.includes(r));
+        const before = runs
+          .slice(0, world.runs.length)
+          .filter((r) => r.machine === x.id && !ended.includes(r));
         const then = [
           ...before,
           ...runs
             .slice(world.runs.length)
-            .filter((r) => r.machine === x.id && (r.job === head.id || lasting.includes(r))),
+            .filter((r) => r.machine === x.id && (r.job === head?.id || lasting.includes(r))),
           ...reserved.filter((r) => r.machine === x.id),
         ];
         // The head's own fresh starts may have ended by then, too.
@@ -183,11 +233,21 @@
           memoryGb: sum(there, 'memoryGb'),
         });
       });
+      // Replicas go to one machine after the other, where they run soonest.
+      if (j.shape === 'service') {
+        able.sort(
+          (a, b) =>
+            count(a) - count(b) ||
+            startsIn.get(a.id)! - startsIn.get(b.id)! ||
+            before.get(a.id)! - before.get(b.id)!,
+        );
+      }
       const equals = able.filter((x) => sameStrength(x, able[0]!));
       // Among equals one where a task of the job has been, and so its image, comes first.
-      const m = equals.find((x) => runs.some((r) => r.job === j.id && r.machine === x.id)) ?? equals[0];
+      const cached = equals.find((x) => runs.some((r) => r.job === j.id && r.machine === x.id));
+      const m = j.shape === 'service' ? able[0] : (cached ?? equals[0]);
       if (!m) return;
-      const run = { job: j.id, machine: m.id, end };
+      const run = { job: j.id, machine: m.id, ranMs: 0, end };
       runs.push(run);
       begun += 1;
       starts.push(`${j.id}@${m.id}`);
@@ -199,14 +259,50 @@
   const firstTasks = (waitedS: number) => {
     for (const j of waiting) {
       const waitedLong = world.now - j.submittedAt >= waitedS * 1000;
-      if (j !== head && waitedLong && left(j) === j.tasks) fill(j, 1);
+      if (j !== head && !goesFirst(j) && waitedLong && left(j) === j.tasks) fill(j, 1);
     }
   };
+  // Critical services go ahead of the queue; what they miss, they make: of lower work, what loses least.
+  for (const j of waiting.filter(goesFirst)) {
+    fill(j);
+    let want = Math.min(left(j), teamSlots(j));
+    const options: { victims: PlainRun[]; loss: number }[] = [];
+    for (const m of strongest) {
+      if (!suits(j, m)) continue;
+      const without = (gone: PlainRun[]) => {
+        const rest = on(m).filter((r) => !gone.includes(r));
+        return { cpus: sum(rest, 'cpus'), gpus: sum(rest, 'gpus'), memoryGb: sum(rest, 'memoryGb') };
+      };
+      const going = on(m).filter((r) => killed.includes(r));
+      if (going.length > 0 && fits(j, m, without(going))) {
+        want -= 1;
+        continue;
+      }
+      const lower = on(m)
+        .filter((r) => !killed.includes(r) && job(r.job).shape === 'array' && job(r.job).level < 3)
+        .sort((a, b) => a.ranMs - b.ranMs);
+      const least = lower.findIndex((_, i) => fits(j, m, without(lower.slice(0, i + 1))));
+      if (least < 0) continue;
+      const victims = lower.slice(0, least + 1);
+      options.push({ victims, loss: victims.reduce((total, r) => total + r.ranMs, 0) });
+    }
+    options.sort((a, b) => a.loss - b.loss);
+    for (const { victims } of options.slice(0, Math.max(0, want))) {
+      for (const r of victims) {
+        killed.push(r);
+        r.end = world.now + 500;
+        stopped.push(`${r.job}@${r.machine}`);
+      }
+    }
+  }
   firstTasks(world.firstTaskS * 1.5);
-  fill(head);
-  let missing = Math.min(left(head), teamSlots(head));
-  if (missing > 0) {
-    const ends = runs.map((r, at) => ({ r, at })).sort((a, b) => a.r.end - b.r.end || a.at - b.at);
+  if (head) fill(head);
+  let missing = head ? Math.min(left(head), teamSlots(head)) : 0;
+  if (head && missing > 0) {
+    const ends = runs
+      .map((r, at) => ({ r, at }))
+      .filter(({ r }) => r.end < Infinity)
+      .sort((a, b) => a.r.end - b.r.end || a.at - b.at);
     for (const { r } of ends) {
       if (missing <= 0) break;
       ended = [...ended, r];
@@ -223,13 +319,13 @@
           memoryGb: sum(there, 'memoryGb'),
         };
         if (missing <= 0 || !fits(head, m, taken)) break;
-        reserved = [...reserved, { job: head.id, machine: m.id, end: 0 }];
+        reserved = [...reserved, { job: head.id, machine: m.id, ranMs: 0, end: 0 }];
         missing -= 1;
         shadow = r.end;
       }
     }
   }
   firstTasks(world.firstTaskS);
-  for (const j of waiting) if (j !== head) fill(j);
-  return { starts, head: left(head) > 0 ? head.id : null };
+  for (const j of waiting) if (j !== head && !goesFirst(j)) fill(j);
+  return { starts, head: head && left(head) > 0 ? head.id : null, stopped };
 };
