--- a/src/core/services.ts
+++ b/src/core/services.ts
@@ -11,7 +11,7 @@
   occupies,
   type Placement,
 } from './state.js';
-import { type Instant, isService, PRIORITY_LEVEL, seconds } from './types.js';
+import { type ImageName, type Instant, isService, PRIORITY_LEVEL, seconds } from './types.js';
 
 /** Replicas of critical services go ahead of the queue; those of others wait in it. */
 export const goesFirst = (job: Job): boolean => isService(job) && PRIORITY_LEVEL[job.spec.priority] === 3;
@@ -87,16 +87,37 @@
   readonly type: { readonly fetchGbPerS: number; readonly cpus: number };
 }
 
-/** How long until a replica would run there: its start goes out with the answer to a check-in, then the image is fetched. */
+/**
+ * How long until a replica would run there: its start goes out with the answer to a check-in, then the image is fetched. What a
+ * machine fetches at the same time shares its rate.
+ */
 const startsInMs = (state: CoreState, job: Job, { machine: m, type }: ServiceRoom, now: Instant): number => {
   const checkIn = m.ticket ? 0 : Math.max(0, m.lastSeen + state.config.reportMs - now);
-  const fetch = m.images.has(job.spec.image) ? 0 : job.spec.imageGb / Math.max(type.fetchGbPerS, 0.01);
-  return checkIn + fetch * 1000;
+  const there = new Set<ImageName>();
+  const fetching = new Map<ImageName, number>();
+  for (const p of m.placements.values()) {
+    if (!p.job) continue;
+    const { image, imageGb } = p.job.spec;
+    if (p.phase === 'running' || p.phase === 'saving') there.add(image);
+    else if (p.phase !== 'ended' && p.phase !== 'recorded') fetching.set(image, imageGb);
+  }
+  const { image, imageGb } = job.spec;
+  if (!m.images.has(image)) fetching.set(image, imageGb);
+  let gb = 0;
+  if (fetching.has(image) && !there.has(image)) {
+    for (const [name, size] of fetching) if (!there.has(name)) gb += size;
+  }
+  return checkIn + (gb / Math.max(type.fetchGbPerS, 0.01)) * 1000;
 };
 
+/** Rooms in which replicas start within this much of one another are as good. */
+const AS_SOON_MS = 3000;
+/** No machine takes more than this share of a service's replicas while others have room. */
+const SHARE_ON_ONE = 1 / 3;
+
 /**
- * The rooms for a service's replicas: where they run soonest, by the second, but one machine after the other, so that the loss of
- * one takes as few as can be; machines on which one ended of late come last.
+ * The rooms for a service's replicas: where they run soonest, and of those one machine after the other, so that the loss of one
+ * takes as few as can be; machines on which one ended of late come last.
  */
 export function* roomsForReplicas<T extends ServiceRoom>(
   state: CoreState,
@@ -108,16 +129,32 @@
   for (const held of job.held.values()) {
     for (const p of held) there.set(p.machine, (there.get(p.machine) ?? 0) + 1);
   }
-  const order = rooms
-    .map((room) => ({
-      room,
-      failed: job.failedOn.has(room.machine.id) ? 1 : 0,
-      startsIn: Math.floor(startsInMs(state, job, room, now) / 1000),
-      there: there.get(room.machine) ?? 0,
-    }))
-    .sort((a, b) => a.failed - b.failed || a.startsIn - b.startsIn || a.there - b.there);
-  for (let most = 1; order.length > 0 && most <= job.spec.tasks; most += 1) {
-    for (const item of order) if (item.there < most) yield item.room;
+  const tiers = new Map<number, { room: T; startsIn: number; there: number }[]>();
+  for (const room of rooms) {
+    const startsIn = startsInMs(state, job, room, now);
+    const failed = job.failedOn.has(room.machine.id);
+    const tier = failed ? Number.POSITIVE_INFINITY : Math.floor(startsIn / AS_SOON_MS);
+    const item = { room, startsIn: Math.floor(startsIn / 1000), there: there.get(room.machine) ?? 0 };
+    const list = tiers.get(tier);
+    if (list) list.push(item);
+    else tiers.set(tier, [item]);
+  }
+  const soonest = [...tiers.keys()].sort((a, b) => a - b).map((tier) => tiers.get(tier)!);
+  for (const tier of soonest) tier.sort((a, b) => a.startsIn - b.startsIn || a.there - b.there);
+  const { tasks } = job.spec;
+  for (const limit of [Math.ceil(tasks * SHARE_ON_ONE), tasks]) {
+    for (const tier of soonest) {
+      for (let most = 1; most <= limit; most += 1) {
+        let any = false;
+        for (const item of tier) {
+          if (item.there >= most) continue;
+          item.there += 1;
+          any = true;
+          yield item.room;
+        }
+        if (!any && tier.every((item) => item.there >= limit)) break;
+      }
+    }
   }
 }
 
--- a/src/service/election.ts
+++ b/src/service/election.ts
@@ -68,15 +68,24 @@
         } else {
           this.leaderNode = (leader?.node ?? null) as NodeId | null;
           this.knownTerm = item.revision as number as Term;
-          await this.waitForChange(item.revision);
+          // What the watch tells need not be asked for again: each round trip saved shortens the time without a leader.
+          if (!(await this.sawItGo(item.revision))) continue;
+          this.leaderNode = null;
+          if (steadyNow() >= this.notBefore) await this.campaign(0 as Revision);
         }
       } else await sleep(this.jitter.around(250));
     }
   }
 
-  private async waitForChange(since: Revision): Promise<void> {
+  /** True when the leader key has gone, and nothing has come in its place as far as the watch tells. */
+  private async sawItGo(since: Revision): Promise<boolean> {
     const result = await this.state.follow(LEADER_KEY, since, FOLLOW_MS);
-    if (typeof result === 'string' && result !== 'too-old') await sleep(this.jitter.around(250));
+    if (typeof result === 'object') {
+      const last = result.changes.filter((c) => c.key === LEADER_KEY).at(-1);
+      return last !== undefined && 'deleted' in last;
+    }
+    if (result !== 'too-old') await sleep(this.jitter.around(250));
+    return false;
   }
 
   /** Step down: a worker has seen a higher term, or a write was refused. */
--- a/test/model/plain-backfill.ts
+++ b/test/model/plain-backfill.ts
@@ -189,16 +189,25 @@
   let reserved: PlainRun[] = [];
   let ended: PlainRun[] = [];
   const lasting: PlainRun[] = [];
+  /** Its own image, and those that the machine fetches for tasks that this round has just started there. */
+  const gbToFetch = (j: PlainJob, m: PlainMachine) => {
+    const fresh = runs.slice(world.runs.length).filter((r) => r.machine === m.id);
+    const old = world.runs.filter((r) => r.machine === m.id).map((r) => r.job);
+    if (old.includes(j.id)) return 0;
+    const names = new Set([...fresh.map((r) => r.job), j.id].filter((id) => !old.includes(id)));
+    return [...names].reduce((total, id) => total + job(id).imageGb, 0);
+  };
   const fill = (j: PlainJob, most = Infinity) => {
     let begun = 0;
     const count = (m: PlainMachine) => runs.filter((r) => r.job === j.id && r.machine === m.id).length;
     // A replica would run there in so many seconds.
     const startsIn = new Map(
-      world.machines.map((m) => [
-        m.id,
-        Math.floor((m.checkInMs + (count(m) > 0 ? 0 : (j.imageGb / m.fetchGbPerS) * 1000)) / 1000),
-      ]),
+      world.machines.map((m) => [m.id, m.checkInMs + (gbToFetch(j, m) / m.fetchGbPerS) * 1000]),
     );
+    const third = Math.ceil(j.tasks / 3);
+    const full = (m: PlainMachine) => (count(m) >= third ? 1 : 0);
+    const tier = (m: PlainMachine) => Math.floor(startsIn.get(m.id)! / 3000);
+    const second = (m: PlainMachine) => Math.floor(startsIn.get(m.id)! / 1000);
     const before = new Map(world.machines.map((m) => [m.id, count(m)]));
     let zone: string | null = null;
     if (j.oneZone && zonesOf(j).length === 0) {
@@ -233,12 +242,14 @@
           memoryGb: sum(there, 'memoryGb'),
         });
       });
-      // Replicas go to one machine after the other, where they run soonest.
+      // Replicas go where they run soonest, there to one machine after the other, and no third of them to one.
       if (j.shape === 'service') {
         able.sort(
           (a, b) =>
+            full(a) - full(b) ||
+            tier(a) - tier(b) ||
             count(a) - count(b) ||
-            startsIn.get(a.id)! - startsIn.get(b.id)! ||
+            second(a) - second(b) ||
             before.get(a.id)! - before.get(b.id)!,
         );
       }
