--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -14,7 +14,7 @@
   type Placement,
   SUSPECT_MACHINES,
 } from './state.js';
-import { type Effect, type Instant, type JobId, later, seconds, type Ticket } from './types.js';
+import { type Effect, type Instant, type JobId, later, type Millis, seconds, type Ticket } from './types.js';
 
 export const addJob = (state: CoreState, spec: Job['spec'], submittedAt: Instant): void => {
   if (state.jobs.has(spec.id)) return;
@@ -96,6 +96,7 @@
 const SOUND_RUN_MS = 30_000;
 /** After this long without a failure a service's pauses start anew. */
 const FAILURES_FORGOTTEN_MS = 120_000;
+const SOUND_PAUSE_MS = 3000 as Millis;
 
 /**
  * A replica has ended by itself, for whatever cause: it runs again, elsewhere where it can. One that ends soon after its start
@@ -117,6 +118,9 @@
   const sound = p.startedAt !== null && now - p.startedAt >= SOUND_RUN_MS;
   if (sound) job.failedOn.add(p.machine.id);
   else noteFailure(state, job, p.machine, now, effects);
+  // With others of it running it is sound, but it need not be tried without a pause where it fails.
+  if (!sound && job.failures >= SUSPECT_MACHINES && !failsEverywhere(job))
+    job.retryAt = later(now, SOUND_PAUSE_MS);
   // An end without an error says nothing against the machine.
   if (!failed) p.machine.failedJobs.delete(job.spec.id);
 };
--- a/src/core/services.ts
+++ b/src/core/services.ts
@@ -112,6 +112,7 @@
 
 /** Rooms in which replicas start within this much of one another are as good. */
 const AS_SOON_MS = 3000;
+const FAILED = -1;
 /** No machine takes more than this share of a service's replicas while others have room. */
 const SHARE_ON_ONE = 1 / 3;
 
@@ -132,28 +133,30 @@
   const tiers = new Map<number, { room: T; startsIn: number; there: number }[]>();
   for (const room of rooms) {
     const startsIn = startsInMs(state, job, room, now);
-    const failed = job.failedOn.has(room.machine.id);
-    const tier = failed ? Number.POSITIVE_INFINITY : Math.floor(startsIn / AS_SOON_MS);
+    const tier = job.failedOn.has(room.machine.id) ? FAILED : Math.floor(startsIn / AS_SOON_MS);
     const item = { room, startsIn: Math.floor(startsIn / 1000), there: there.get(room.machine) ?? 0 };
     const list = tiers.get(tier);
     if (list) list.push(item);
     else tiers.set(tier, [item]);
   }
+  const failed = tiers.get(FAILED) ?? [];
+  tiers.delete(FAILED);
   const soonest = [...tiers.keys()].sort((a, b) => a - b).map((tier) => tiers.get(tier)!);
   for (const tier of soonest) tier.sort((a, b) => a.startsIn - b.startsIn || a.there - b.there);
   const { tasks } = job.spec;
   for (const limit of [Math.ceil(tasks * SHARE_ON_ONE), tasks]) {
-    for (const tier of soonest) {
-      for (let most = 1; most <= limit; most += 1) {
-        let any = false;
-        for (const item of tier) {
-          if (item.there >= most) continue;
-          item.there += 1;
-          any = true;
-          yield item.room;
-        }
-        if (!any && tier.every((item) => item.there >= limit)) break;
-      }
+    for (const tier of soonest) yield* inTurn(tier, limit);
+  }
+  yield* inTurn(failed, tasks);
+}
+
+/** One room after the other, until each has this many. */
+function* inTurn<T>(tier: readonly { readonly room: T; there: number }[], limit: number): Generator<T> {
+  for (let most = 1; most <= limit; most += 1) {
+    for (const item of tier) {
+      if (item.there >= most) continue;
+      item.there += 1;
+      yield item.room;
     }
   }
 }
--- a/test/model/story.ts
+++ b/test/model/story.ts
@@ -72,6 +72,33 @@
     throw new Error('no answer');
   }
 
+  /** Check-ins of many machines at a time; the orders with which each is answered. */
+  checkInAll(
+    told: ReadonlyMap<string, ReportedTask[]>,
+    change: Record<string, Partial<Report>> = {},
+  ): Map<string, readonly Order[] | null> {
+    const asked = new Map<number, string>();
+    const answers = new Map<string, readonly Order[] | null>();
+    let effects: Effect[] = [];
+    for (const [id, tasks] of told) {
+      const seq = (this.seqs.get(id) ?? 0) + 1;
+      this.seqs.set(id, seq);
+      const ticket = this.ticket++ as Ticket;
+      asked.set(ticket, id);
+      const sent = report(id, seq, this.state.config.term, tasks, change[id] ?? {});
+      effects.push(...this.send({ kind: 'report', report: sent, ticket }));
+    }
+    for (let i = 0; i < 16 && answers.size < told.size; i += 1) {
+      for (const e of effects) {
+        const id = e.kind === 'answer' ? asked.get(e.ticket) : undefined;
+        if (e.kind === 'answer' && id !== undefined) answers.set(id, e.orders);
+      }
+      this.now += 250;
+      effects = this.send({ kind: 'tick' });
+    }
+    return answers;
+  }
+
   /** Two check-ins: after the second the machine is known to obey this term. */
   up(id: string, change: Partial<Report> = {}): readonly Order[] | null {
     this.checkIn(id, [], change);
--- /dev/null
+++ b/test/services.test.ts
@@ -0,0 +1,337 @@
+/** Standing services: replicas that run until their job is cancelled. */
+import { describe, expect, it } from 'vitest';
+import { runRound } from '../src/core/backfill.js';
+import { segmentKey } from '../src/core/state.js';
+import { step } from '../src/core/step.js';
+import type {
+  Effect,
+  Instant,
+  JobId,
+  MachineId,
+  Order,
+  ReportedTask,
+  SaveOp,
+  Term,
+  Ticket,
+} from '../src/core/types.js';
+import { viewJob } from '../src/core/view.js';
+import { core, entry, job, recordedAt, report, type } from './model/build.js';
+import { ended, running, Story } from './model/story.js';
+
+const service = (change: object = {}) => ({
+  shape: 'service',
+  priority: 'critical',
+  spotOk: false,
+  estimateS: 0,
+  ...change,
+});
+const kills = (effects: readonly Effect[]): Order[] =>
+  effects.flatMap((e) => (e.kind === 'orders' ? e.orders.filter((o) => o.op === 'kill') : []));
+const view = (s: Story, id: string) => viewJob(s.state, id as JobId, s.now as Instant);
+
+/** Machines that hold what they were told to start, and say so; returns all that was ever started on each. */
+class Fleet {
+  readonly holds = new Map<string, Order[]>();
+  readonly started: { order: Order; machine: string; at: number }[] = [];
+
+  constructor(
+    readonly s: Story,
+    ids: readonly string[],
+    readonly change: Record<string, object> = {},
+  ) {
+    for (const id of ids) this.holds.set(id, []);
+    // After two check-ins they are known to obey this term.
+    this.round();
+    this.round();
+  }
+
+  add(id: string): void {
+    this.holds.set(id, []);
+    this.round();
+    this.round();
+  }
+
+  /** One check-in of each machine, all at a time; `end` says which of its tasks have ended, and why. */
+  round(end: (o: Order, machine: string) => 'done' | 'error' | 'stopped' | null = () => null): void {
+    const told = new Map<string, ReportedTask[]>();
+    for (const [id, held] of this.holds) {
+      const say = (o: Order) => {
+        const cause = end(o, id);
+        return cause ? ended(o, cause) : running(o);
+      };
+      told.set(id, held.map(say));
+    }
+    for (const [id, orders] of this.s.checkInAll(told, this.change)) {
+      const held = this.holds.get(id)!;
+      const after = held.filter((o) => end(o, id) === null);
+      for (const o of orders ?? []) {
+        if (o.op !== 'start') continue;
+        after.push(o);
+        this.started.push({ order: o, machine: id, at: this.s.now });
+      }
+      this.holds.set(id, after);
+    }
+  }
+
+  on(machine: string, id: string): number {
+    return this.holds.get(machine)!.filter((o) => o.job === id).length;
+  }
+}
+
+describe('a service', () => {
+  it('is never done: a replica that ends, for whatever cause, runs again under a new attempt', () => {
+    const s = new Story();
+    const fleet = new Fleet(s, ['n-1', 'n-2']);
+    s.submit('job-1', service({ tasks: 2 }));
+    for (let i = 0; i < 3; i += 1) fleet.round();
+    expect(view(s, 'job-1')).toMatchObject({ status: 'running', running: 2, done: 0, tasks: 2 });
+    // They have run for long: an end then says nothing against the service.
+    for (let i = 0; i < 30; i += 1) {
+      fleet.round();
+      s.pass(1000);
+    }
+    for (const cause of ['done', 'error'] as const) {
+      const before = fleet.started.length;
+      fleet.round((o) => (o.index === 0 ? cause : null));
+      for (let i = 0; i < 4; i += 1) fleet.round();
+      expect(fleet.started.length).toBe(before + 1);
+      expect(view(s, 'job-1')).toMatchObject({ status: 'running', running: 2, done: 0 });
+      for (let i = 0; i < 40; i += 1) {
+        fleet.round();
+        s.pass(1000);
+      }
+    }
+    const attempts = fleet.started.map(({ order }) => order.attempt);
+    expect(new Set(attempts).size).toBe(attempts.length);
+    const finals = s.effects.filter((e) => e.kind === 'final' || e.kind === 'settled');
+    expect(finals).toEqual([]);
+    // Nothing of it is entered as done either.
+    const ops = s.effects.flatMap((e) => (e.kind === 'save' ? [...e.ops] : []));
+    for (const op of ops) if (op.kind === 'segment') expect(op.progress).toEqual([]);
+  });
+
+  it('that has been cancelled loses all replicas, and none starts again', () => {
+    const s = new Story();
+    const fleet = new Fleet(s, ['n-1', 'n-2', 'n-3']);
+    s.submit('job-1', service({ tasks: 3 }));
+    for (let i = 0; i < 3; i += 1) fleet.round();
+    s.effects = [];
+    s.send({ kind: 'abort', job: 'job-1' as JobId, ticket: 900 as Ticket });
+    s.pass(500);
+    expect(s.effects).toContainEqual({ kind: 'settled', ticket: 900, outcome: 'cancelled' });
+    expect(new Set(kills(s.effects).map((o) => o.attempt)).size).toBe(3);
+    const before = fleet.started.length;
+    for (let i = 0; i < 6; i += 1) fleet.round(() => 'stopped');
+    expect(fleet.started.length).toBe(before);
+    expect(view(s, 'job-1')).toBeNull();
+  });
+
+  it('that fails at once everywhere pauses for longer and longer, holds up nobody and costs no machine', () => {
+    const s = new Story();
+    const fleet = new Fleet(s, ['n-1', 'n-2']);
+    s.submit('job-1', service({ tasks: 2 }));
+    s.submit('job-2', { tasks: 8, estimateS: 5 });
+    for (let i = 0; i < 120; i += 1) {
+      fleet.round((o) => (o.job === 'job-1' ? 'error' : 'done'));
+      s.pass(500);
+    }
+    const tries = fleet.started.filter(({ order }) => order.job === 'job-1').map(({ at }) => at);
+    expect(tries.length).toBeGreaterThan(4);
+    expect(tries.length).toBeLessThan(20);
+    expect(tries.at(-1)! - tries.at(-2)!).toBeGreaterThan(12_000);
+    expect(fleet.started.filter(({ order }) => order.job === 'job-2')).toHaveLength(8);
+    expect(view(s, 'job-1')?.waiting).toMatch(/pausing after failed tasks/);
+    expect(s.effects.filter((e) => e.kind === 'delete')).toEqual([]);
+  });
+
+  it('is not taken for faulty, and does not pause, for what one faulty machine does to it', () => {
+    const s = new Story();
+    const fleet = new Fleet(s, ['n-1', 'n-2', 'n-3']);
+    s.submit('job-1', service({ tasks: 6 }));
+    for (let i = 0; i < 20; i += 1) fleet.round((_, m) => (m === 'n-1' ? 'error' : null));
+    expect(view(s, 'job-1')).toMatchObject({ running: 6 });
+    expect(fleet.on('n-1', 'job-1')).toBe(0);
+  });
+
+  it('leaves a machine with a notice once room is held elsewhere, and starts there only when proven gone', () => {
+    const notice = { 'n-1': { spot: true, noticeS: null as number | null } };
+    const s = new Story();
+    const fleet = new Fleet(s, ['n-1'], notice);
+    s.submit('job-1', service({ tasks: 1, spotOk: true }));
+    for (let i = 0; i < 3; i += 1) fleet.round();
+    expect(fleet.on('n-1', 'job-1')).toBe(1);
+    notice['n-1'].noticeS = 30;
+    s.effects = [];
+    fleet.round();
+    s.pass(1000);
+    // Nowhere to go: it runs on for as long as it can.
+    expect(kills(s.effects)).toEqual([]);
+    const before = fleet.started.length;
+    fleet.add('n-2');
+    s.pass(1000);
+    expect(kills(s.effects)[0]).toMatchObject({ op: 'kill', job: 'job-1', index: 0 });
+    // It is still there as far as anybody knows.
+    fleet.round();
+    expect(fleet.started.length).toBe(before);
+    fleet.round((_, m) => (m === 'n-1' ? 'stopped' : null));
+    for (let i = 0; i < 3; i += 1) fleet.round();
+    expect(fleet.on('n-2', 'job-1')).toBe(1);
+  });
+
+  it('spreads its replicas over machines, and over zones as it must, counting those not yet proven gone', () => {
+    const zones = { 'n-1': { zone: 'a' }, 'n-2': { zone: 'a' }, 'n-3': { zone: 'b' }, 'n-4': { zone: 'b' } };
+    const s = new Story();
+    const fleet = new Fleet(s, Object.keys(zones), zones);
+    s.submit('job-1', service({ tasks: 4, scatter: true }));
+    for (let i = 0; i < 3; i += 1) fleet.round();
+    expect([...fleet.holds.values()].map((held) => held.length)).toEqual([1, 1, 1, 1]);
+    // Zone b falls silent: its two may still run there, so that nothing of them starts in a, which holds its half.
+    const b = fleet.holds.get('n-3')!.concat(fleet.holds.get('n-4')!);
+    fleet.holds.delete('n-3');
+    fleet.holds.delete('n-4');
+    const before = fleet.started.length;
+    for (let i = 0; i < 6; i += 1) fleet.round();
+    expect(fleet.started.length).toBe(before);
+    // Deleted, they are gone: a takes no more than half even so.
+    s.send({ kind: 'deleted', machines: ['n-3', 'n-4'] as MachineId[], ok: true });
+    for (let i = 0; i < 4; i += 1) fleet.round();
+    expect(b).toHaveLength(2);
+    expect(fleet.started.length).toBe(before);
+    fleet.change['n-5'] = { zone: 'b' };
+    fleet.add('n-5');
+    for (let i = 0; i < 4; i += 1) fleet.round();
+    expect(fleet.on('n-5', 'job-1')).toBe(2);
+  });
+
+  it('when critical goes ahead of a head that reserves, stopping as little as it takes of what loses least', () => {
+    const s = new Story();
+    const fleet = new Fleet(s, ['n-1', 'n-2']);
+    s.submit('job-1', { tasks: 15, estimateS: 300, priority: 'best_effort' });
+    for (let i = 0; i < 4; i += 1) fleet.round();
+    s.submit('job-2', { tasks: 40, cpus: 2, estimateS: 100, priority: 'urgent' });
+    s.submit('job-3', { tasks: 1, estimateS: 300, priority: 'best_effort' });
+    for (let i = 0; i < 3; i += 1) fleet.round();
+    s.effects = [];
+    s.submit('job-9', service({ tasks: 2, cpus: 1 }));
+    s.pass(750);
+    const stopped = kills(s.effects);
+    // One processor is free, reserved for the head.
+    expect(new Set(stopped.map((o) => o.attempt)).size).toBe(1);
+    expect(s.state.head).not.toBe('job-9');
+    const attempts = new Set(stopped.map((o) => o.attempt));
+    fleet.round((o) => (attempts.has(o.attempt) ? 'stopped' : null));
+    for (let i = 0; i < 3; i += 1) fleet.round();
+    expect(view(s, 'job-9')).toMatchObject({ running: 2 });
+  });
+
+  it('that can never be placed in full holds up nobody', () => {
+    const s = new Story();
+    const fleet = new Fleet(s, ['n-1']);
+    for (const [id, priority] of [
+      ['job-1', 'critical'],
+      ['job-2', 'standard'],
+    ])
+      s.submit(id!, service({ tasks: 2, cpus: 5, priority }));
+    s.submit('job-3', { tasks: 30, estimateS: 1, spotOk: false });
+    for (let i = 0; i < 60; i += 1) {
+      fleet.round((o) => (o.job === 'job-3' ? 'done' : null));
+      s.pass(300);
+    }
+    expect(fleet.on('n-1', 'job-1')).toBe(1);
+    expect(s.state.jobs.has('job-3' as JobId)).toBe(false);
+    expect(view(s, 'job-2')?.waiting).toBeTruthy();
+  });
+});
+
+describe('ordinary machines', () => {
+  const spots = { 'n-1': { spot: false }, 'n-2': { spot: true } };
+
+  it('are left to services by what may use cheap ones, and only while there are services', () => {
+    for (const withService of [false, true]) {
+      const s = new Story();
+      const fleet = new Fleet(s, ['n-1', 'n-2'], spots);
+      if (withService) s.submit('job-1', service({ tasks: 1 }));
+      s.submit('job-2', { tasks: 20, estimateS: 100 });
+      for (let i = 0; i < 4; i += 1) fleet.round();
+      expect(fleet.on('n-1', 'job-2')).toBe(withService ? 0 : 8);
+      expect(fleet.on('n-2', 'job-2')).toBe(8);
+    }
+  });
+
+  it('are rented for services that may use no others, and not returned while they are needed', () => {
+    const s = new Story(core({}, { idleReturnS: 10 }));
+    const fleet = new Fleet(s, ['n-1', 'n-2'], { 'n-1': { spot: true }, 'n-2': { spot: false } });
+    // What was asked for when the fleet came up has been refused.
+    for (const e of s.effects) {
+      if (e.kind === 'rent') s.send({ kind: 'rented', request: e.request, result: 'refused', machines: [] });
+    }
+    s.pass(8000);
+    s.effects = [];
+    s.submit('job-1', service({ tasks: 4 }));
+    for (let i = 0; i < 3; i += 1) fleet.round();
+    const rents = s.effects.filter((e) => e.kind === 'rent');
+    expect(rents[0]).toMatchObject({ spot: false });
+    for (let i = 0; i < 60; i += 1) {
+      fleet.round();
+      s.pass(500);
+    }
+    const deleted = s.effects.flatMap((e) => (e.kind === 'delete' ? [...e.machines] : []));
+    expect(deleted).not.toContain('n-2');
+  });
+});
+
+describe('replicas in the placement ledger', () => {
+  it('stand in records of their own, which what ends soon does not make thin', () => {
+    const s = new Story();
+    const fleet = new Fleet(s, ['n-1', 'n-2']);
+    s.submit('job-900', service({ tasks: 4 }));
+    for (let i = 0; i < 3; i += 1) fleet.round();
+    s.effects = [];
+    for (let i = 0; i < 60; i += 1) {
+      s.submit(`job-${i}`, { tasks: 6, spotOk: false });
+      fleet.round((o) => (o.job === 'job-900' ? null : 'done'));
+      s.pass(500);
+    }
+    const ops: SaveOp[] = s.effects.flatMap((e) => (e.kind === 'save' ? [...e.ops] : []));
+    const moved = ops.flatMap((op) =>
+      op.kind === 'segment' ? op.machines.flatMap((m) => m.entries.filter((x) => x.job === 'job-900')) : [],
+    );
+    expect(ops.filter((op) => op.kind === 'segment').length).toBeGreaterThan(30);
+    expect(moved).toEqual([]);
+    expect(s.state.jobs.get('job-900' as JobId)?.held.size).toBe(4);
+    expect(s.state.segments.size).toBeLessThan(15);
+  });
+
+  it('of a former leader stay where they are until their machine answers for them', () => {
+    const state = core({ term: 8 as Term });
+    const spec = job('job-1', service({ tasks: 2 }));
+    const at = { machine: 'n-1' as MachineId, at: recordedAt, entries: [entry(0, 70), entry(1, 71)] };
+    step(
+      state,
+      [
+        { kind: 'types', types: [type('c8')] },
+        { kind: 'job', spec, submittedAt: 0 as Instant },
+        // What an array's record would say of it as done changes nothing: a service never is.
+        {
+          kind: 'progress',
+          segment: segmentKey(7 as Term, 1),
+          job: spec.id,
+          from: 0,
+          bits: Uint8Array.of(255),
+        },
+        { kind: 'ledger', segment: segmentKey(7 as Term, 1), ...at },
+        { kind: 'loaded' },
+      ],
+      0 as Instant,
+      'lead',
+    );
+    const placed: number[] = [];
+    for (let now = 500, seq = 1; now < 10_000; now += 500, seq += 1) {
+      const told = report('n-2', seq, seq < 3 ? 7 : 8);
+      step(state, [{ kind: 'report', report: told, ticket: seq as Ticket }], now as Instant, 'lead');
+      placed.push(runRound(state, now as Instant).placed.length);
+    }
+    expect(placed.every((n) => n === 0)).toBe(true);
+    expect(state.jobs.get(spec.id)).toMatchObject({ doneCount: 0, final: 'none' });
+  });
+});
