--- a/src/core/backfill.ts
+++ b/src/core/backfill.ts
@@ -78,7 +78,7 @@
 };
 
 /** The zone rules, given where the job's other tasks may be at this moment. */
-export const zoneAllows = (job: Job, machine: Machine): boolean => {
+export const zoneAllows = (job: Job, machine: Pick<Machine, 'zone'>): boolean => {
   const { spec, heldByZone } = job;
   if (spec.oneZone && heldByZone.size > 0 && !(heldByZone.size === 1 && heldByZone.has(machine.zone))) {
     return false;
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -1,5 +1,5 @@
 /** Which machines to rent, replace and return. */
-import { mayUseMachine, teamRoom } from './backfill.js';
+import { mayUseMachine, teamRoom, zoneAllows } from './backfill.js';
 import { ordinaryNeed } from './services.js';
 import {
   type CoreState,
@@ -355,21 +355,23 @@
     checked += 1;
     const limit = Math.min(job.pending, teamRoom(state, job));
     if (limit <= 0 || now < job.retryAt) continue;
-    if (suited.has(job.needs)) continue;
-    let there = options.some((o) => o.outstanding.size > 0 && optionSuits(job, o));
+    const plain = !job.spec.oneZone && !job.spec.scatter;
+    if (plain && suited.has(job.needs)) continue;
+    // A service that must be spread waits for good where all machines are in a zone that has its half.
+    let there = options.some((o) => o.outstanding.size > 0 && optionSuits(job, o) && zoneAllows(job, o));
     for (const m of there ? [] : state.machines.values()) {
       const type = state.types.get(m.type);
-      if (!type || !counted(m) || !mayUseMachine(job, m)) continue;
+      if (!type || !counted(m) || !mayUseMachine(job, m) || !zoneAllows(job, m)) continue;
       if (job.spec.cpus > type.cpus || job.spec.gpus > type.gpus || job.spec.memoryGb > type.memoryGb)
         continue;
       there = true;
       break;
     }
     if (there) {
-      suited.add(job.needs);
+      if (plain) suited.add(job.needs);
       continue;
     }
-    const suits = options.filter((o) => optionSuits(job, o));
+    const suits = options.filter((o) => optionSuits(job, o) && zoneAllows(job, o));
     rentFrom(state, suits, limit * Math.max(job.spec.cpus, 0.1), now, effects);
   }
   return effects;
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -38,7 +38,10 @@
     expect(deaf).toBeGreaterThan(100);
     expect(quick).toBeGreaterThan(50);
     expect(changes).toBeGreaterThan(50);
-    console.log(services, changes);
+    expect(services.starts).toBeGreaterThan(800);
+    expect(services.ends).toBeGreaterThan(150);
+    expect(services.moves).toBeGreaterThan(15);
+    expect(services.cancelled).toBeGreaterThan(100);
     expect(Object.keys(crowds)).toHaveLength(5);
     for (const [kind, n] of [...Object.entries(crowds), ...Object.entries(controllers)]) {
       expect(n, kind).toBeGreaterThan(15);
