--- a/src/core/backfill.ts
+++ b/src/core/backfill.ts
@@ -526,6 +526,8 @@
     const missing = Math.min(job.pending, teamRoom(state, job));
     if (missing > 0 && !failsEverywhere(job)) makeRoomForReplicas(job, missing, rooms, now);
   }
+  // Where replicas have just been placed no array is to start beside them, whose images would be fetched at the same time.
+  if (placed.length > 0) keepMachines(state, now);
   holdForMoves(leaving, rooms);
   let open = stillOpen(rooms, least);
   let shadowAt = 0;
--- a/test/model/plain-backfill.ts
+++ b/test/model/plain-backfill.ts
@@ -152,21 +152,26 @@
   // largest; of each zone in turn, those with replicas first, then those kept before.
   const dear = world.jobs.filter((j) => j.shape === 'service' && !j.spotOk);
   const sizes = dear.map((j) => j.tasks * j.cpus);
-  let toKeep = 1.5 * sizes.reduce((a, b) => a + b, 0) + 2 * Math.max(0, ...sizes);
-  const kept = new Set<PlainMachine>();
+  let kept = new Set<PlainMachine>(world.machines.filter((m) => m.kept));
   const ordinary = world.machines.filter((m) => !m.spot);
   const has = (m: PlainMachine) => on(m).some((r) => job(r.job).shape === 'service');
-  const keepRank = (m: PlainMachine) => (has(m) ? 2 : m.kept ? 1 : 0);
-  for (let turn = 0; turn < ordinary.length; turn += 1) {
-    for (const z of [...new Set(ordinary.map((m) => m.zone))]) {
-      const list = ordinary.filter((m) => m.zone === z);
-      list.sort((a, b) => keepRank(b) - keepRank(a) || (a.id < b.id ? -1 : 1));
-      const m = list[turn];
-      if (!m || toKeep <= 0) continue;
-      kept.add(m);
-      toKeep -= m.cpus;
+  const keep = () => {
+    const before = kept;
+    kept = new Set();
+    let toKeep = 1.5 * sizes.reduce((a, b) => a + b, 0) + 2 * Math.max(0, ...sizes);
+    const rank = (m: PlainMachine) => (has(m) ? 2 : before.has(m) ? 1 : 0);
+    for (let turn = 0; turn < ordinary.length; turn += 1) {
+      for (const z of [...new Set(ordinary.map((m) => m.zone))]) {
+        const list = ordinary.filter((m) => m.zone === z);
+        list.sort((a, b) => rank(b) - rank(a) || (a.id < b.id ? -1 : 1));
+        const m = list[turn];
+        if (!m || toKeep <= 0) continue;
+        kept.add(m);
+        toKeep -= m.cpus;
+      }
     }
-  }
+  };
+  keep();
 
   const suits = (j: PlainJob, m: PlainMachine) =>
     (j.shape === 'service' || !j.spotOk || !kept.has(m)) &&
@@ -306,6 +311,7 @@
       }
     }
   }
+  keep();
   firstTasks(world.firstTaskS * 1.5);
   if (head) fill(head);
   let missing = head ? Math.min(left(head), teamSlots(head)) : 0;
