--- a/src/adapters/cloud-client.ts
+++ b/src/adapters/cloud-client.ts
@@ -7,7 +7,7 @@
   TypeName,
   ZoneName,
 } from '../core/types.js';
-import { HttpClient, type Reply } from './http-client.js';
+import { HttpClient, NOT_JSON, type Reply } from './http-client.js';
 import { RateLimiter } from './rate-limiter.js';
 import type { Endpoint } from './settings.js';
 import { parseMachines, parseNames, parseTypes } from './wire.js';
@@ -22,7 +22,12 @@
   /** The last call got no answer, or one of trouble. */
   away = false;
 
-  constructor(at: Endpoint, rps: number) {
+  constructor(
+    at: Endpoint,
+    rps: number,
+    /** Told of answers that are none of the protocol's, by what was asked. */
+    private readonly onOdd: (asked: string) => void = () => {},
+  ) {
     this.http = new HttpClient(at, 4);
     // The bench of limits is shared by all controllers; only the leader uses it steadily.
     this.limiter = new RateLimiter(rps * 0.7, Math.max(1, rps * 0.7), 20);
@@ -43,9 +48,17 @@
     return reply;
   }
 
+  private read<T>(asked: string, reply: Reply, parse: (body: unknown) => T | null): T | null {
+    if (reply.kind === 'none' && reply.reason === NOT_JSON) this.onOdd(asked);
+    if (reply.kind === 'none' || reply.status !== 200) return null;
+    const value = parse(reply.body);
+    if (value === null) this.onOdd(asked);
+    return value;
+  }
+
   async types(): Promise<MachineType[] | null> {
     const reply = await this.call('GET', '/machine_types');
-    return reply.kind === 'answer' && reply.status === 200 ? parseTypes(reply.body) : null;
+    return this.read('machine types', reply, parseTypes);
   }
 
   async rent(
@@ -58,7 +71,8 @@
   ): Promise<MachineId[] | 'refused' | 'unknown'> {
     const body = { Hire: request, Hull: type, Yard: zone, Loaners: spot, HowMany: count };
     const reply = await this.call('POST', '/machines', body, entitled);
-    if (reply.kind === 'answer' && reply.status === 200) return parseNames(reply.body) ?? 'unknown';
+    if (reply.kind === 'answer' && reply.status === 200)
+      return this.read('rental', reply, parseNames) ?? 'unknown';
     if (reply.kind === 'answer') return 'refused';
     return reply.sent ? 'unknown' : 'refused';
   }
@@ -74,7 +88,7 @@
       const after = all.at(-1)?.id;
       const since = after === undefined ? '' : `Since=${encodeURIComponent(after)}&`;
       const reply = await this.call('GET', `/machines?${since}Limit=${PAGE}`);
-      const page = reply.kind === 'answer' && reply.status === 200 ? parseMachines(reply.body) : null;
+      const page = this.read('list', reply, parseMachines);
       if (!page) return null;
       all.push(...page.machines);
       if (!page.more || page.machines.length === 0) return all;
--- a/src/adapters/http-client.ts
+++ b/src/adapters/http-client.ts
@@ -7,6 +7,7 @@
   /** No answer. `sent`: the request may have been, or may yet be, carried out. */
   | { readonly kind: 'none'; readonly sent: boolean; readonly reason: string };
 
+export const NOT_JSON = 'answer is not JSON';
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 
 export const exchange = (
@@ -76,7 +77,7 @@
             body: raw === '' ? null : JSON.parse(raw),
           });
         } catch {
-          finish({ kind: 'none', sent: true, reason: 'answer is not JSON' });
+          finish({ kind: 'none', sent: true, reason: NOT_JSON });
         }
       });
     });
--- a/src/adapters/state-client.ts
+++ b/src/adapters/state-client.ts
@@ -2,7 +2,7 @@
 import * as v from 'valibot';
 import type { Revision } from '../core/types.js';
 import { steadyNow } from './clock.js';
-import { HttpClient, type Reply } from './http-client.js';
+import { HttpClient, NOT_JSON, type Reply } from './http-client.js';
 import { RateLimiter } from './rate-limiter.js';
 import type { Endpoint } from './settings.js';
 
@@ -74,13 +74,6 @@
     .map(([name, value]) => `${name}=${encodeURIComponent(String(value)).replace(/%2F/g, '/')}`)
     .join('&');
 
-const failed = (reply: Reply): Failure =>
-  reply.kind === 'none' && reply.sent
-    ? 'unknown'
-    : reply.kind === 'answer' && reply.status < 500 && reply.status !== 429
-      ? 'unknown'
-      : 'refused';
-
 export class StateClient {
   private readonly http: HttpClient;
   private readonly watches: HttpClient;
@@ -97,6 +90,8 @@
   constructor(
     at: Endpoint,
     private readonly shares: Shares,
+    /** Told of answers that are none of the protocol's, by what was asked. */
+    private readonly onOdd: (asked: string) => void = () => {},
   ) {
     this.http = new HttpClient(at, 24);
     this.leases = new HttpClient(at, 6);
@@ -131,10 +126,14 @@
     return reply;
   }
 
+  /** True while it keeps to the lower shares. */
+  get lowered(): boolean {
+    return steadyNow() < this.loweredUntil;
+  }
+
   private noteRate(refused: boolean): void {
-    const now = steadyNow();
-    if (refused) this.loweredUntil = now + LOWERED_MS;
-    const { rps, writeRps } = now < this.loweredUntil ? this.shares.lowered : this.shares;
+    if (refused) this.loweredUntil = steadyNow() + LOWERED_MS;
+    const { rps, writeRps } = this.lowered ? this.shares.lowered : this.shares;
     this.requests.setRate(rps);
     this.writes.setRate(writeRps);
   }
@@ -147,6 +146,17 @@
     void this.http.call('GET', '/kv/probe', undefined, READ_MS).then((reply) => this.noted(reply));
   }
 
+  /** What an answer that says nothing of use means; one that should not have come is told of. */
+  private failed(asked: string, reply: Reply): Failure {
+    if (reply.kind === 'none') {
+      if (reply.reason === NOT_JSON) this.onOdd(asked);
+      return reply.sent ? 'unknown' : 'refused';
+    }
+    if (reply.status >= 500 || reply.status === 429) return 'refused';
+    this.onOdd(asked);
+    return 'unknown';
+  }
+
   async get(key: string): Promise<Item | 'absent' | Failure> {
     const reply = await this.call('GET', `/kv/${key}`, undefined, READ_MS);
     if (reply.kind === 'answer' && reply.status === 404) return 'absent';
@@ -156,7 +166,7 @@
         return { key: item.output.Path, value: item.output.Data, revision: item.output.Stamp as Revision };
       }
     }
-    return failed(reply);
+    return this.failed('get', reply);
   }
 
   async list(
@@ -177,7 +187,7 @@
         return { items, more: page.output.More ?? false, revision: page.output.Epoch as Revision };
       }
     }
-    return failed(reply);
+    return this.failed('list', reply);
   }
 
   /** All keys under a prefix; the revision is that of the first page, so a watch from there misses nothing. */
@@ -218,7 +228,7 @@
         if (body.success) return { revision: body.output.Epoch as Revision };
       }
     }
-    return failed(reply);
+    return this.failed('transaction', reply);
   }
 
   async grant(lifeMs: number): Promise<LeaseId | Failure> {
@@ -227,14 +237,14 @@
       const body = v.safeParse(holdSchema, reply.body);
       if (body.success) return body.output.Hold as LeaseId;
     }
-    return failed(reply);
+    return this.failed('lease', reply);
   }
 
   async renew(lease: LeaseId): Promise<'ok' | 'gone' | Failure> {
     const reply = await this.urgent('POST', `/holds/${lease}/renew`, {});
     if (reply.kind === 'answer' && reply.status === 200) return 'ok';
     if (reply.kind === 'answer' && reply.status === 404) return 'gone';
-    return failed(reply);
+    return this.failed('renewal', reply);
   }
 
   async revoke(lease: LeaseId): Promise<void> {
@@ -262,7 +272,7 @@
         return { revision: body.output.Epoch as Revision, changes };
       }
     }
-    return failed(reply);
+    return this.failed('watch', reply);
   }
 
   close(): void {
--- a/src/service/controller.ts
+++ b/src/service/controller.ts
@@ -1,7 +1,7 @@
 /** One controller: leads or follows, and answers users, workers and its peers. */
 import { sleep } from '../adapters/clock.js';
 import { CloudClient } from '../adapters/cloud-client.js';
-import type { Log } from '../adapters/log.js';
+import { type Log, Once } from '../adapters/log.js';
 import { Peer, type Question } from '../adapters/peer-link.js';
 import type { Jitter } from '../adapters/random.js';
 import type { Settings } from '../adapters/settings.js';
@@ -54,8 +54,14 @@
       writeRps: writeRps * writes,
       lowered: { rps: nextRps * reads, writeRps: nextWriteRps * writes },
     });
-    const state = new StateClient(settings.state, share(READS_OF_ALL / nodes, ADMISSIONS_OF_ALL / nodes));
-    const batchState = new StateClient(settings.state, share(BATCH_READS, BATCH_WRITES));
+    const odd = new Once();
+    const onOdd = (of: string) => (asked: string) => {
+      if (odd.first(`${of} ${asked}`)) log.info({ of, asked }, 'answer of an unknown form');
+    };
+    const admissions = share(READS_OF_ALL / nodes, ADMISSIONS_OF_ALL / nodes);
+    const state = new StateClient(settings.state, admissions, onOdd('state service'));
+    const batches = share(BATCH_READS, BATCH_WRITES);
+    const batchState = new StateClient(settings.state, batches, onOdd('state service'));
     const orderSockets = Math.max(10, Math.floor(settings.quota.maxConnections * ORDER_SOCKETS));
     this.parts = {
       settings,
@@ -64,7 +70,7 @@
       jitter,
       state,
       batchState,
-      cloud: new CloudClient(settings.cloud, settings.cloudLimits.rps),
+      cloud: new CloudClient(settings.cloud, settings.cloudLimits.rps, onOdd('cloud')),
       workers: new WorkerClient(orderSockets),
       peers: new Map(settings.peers.map((peer) => [peer.node, new Peer(peer.node, peer.at)])),
       types: null,
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -1,5 +1,5 @@
 import { createServer as createHttpServer } from 'node:http';
-import { type AddressInfo, connect, createServer, type Server } from 'node:net';
+import { type AddressInfo, connect } from 'node:net';
 import { Hono } from 'hono';
 import pino from 'pino';
 import { afterEach, describe, expect, it, vi } from 'vitest';
@@ -8,7 +8,7 @@
 import { HttpClient } from '../src/adapters/http-client.js';
 import { encodeFrame, FrameReader, MAX_FRAME, Peer, servePeers } from '../src/adapters/peer-link.js';
 import { Jitter } from '../src/adapters/random.js';
-import { DEFAULT_POLICY, parseEndpoint, parseSettings } from '../src/adapters/settings.js';
+import { parseEndpoint, parseSettings } from '../src/adapters/settings.js';
 import { StateClient } from '../src/adapters/state-client.js';
 import { WorkerClient } from '../src/adapters/worker-client.js';
 import { segmentKey } from '../src/core/state.js';
@@ -25,129 +25,26 @@
   TypeName,
   ZoneName,
 } from '../src/core/types.js';
-import { Controller } from '../src/service/controller.js';
+import type { Controller } from '../src/service/controller.js';
 import { Owner } from '../src/service/owner.js';
 import { Persister } from '../src/service/persister.js';
 import { core } from './model/build.js';
 import { Cloud, post } from './stand-ins/cloud.js';
+import {
+  body,
+  cleanUp,
+  cleanups,
+  cluster,
+  freePort,
+  log,
+  type Node,
+  status,
+  until,
+} from './stand-ins/cluster.js';
 import { settingsText } from './stand-ins/settings.js';
 import { StateService } from './stand-ins/state-service.js';
 
-const log = pino({ level: 'silent' });
-const cleanups: (() => void)[] = [];
-afterEach(() => {
-  for (const clean of cleanups.splice(0).reverse()) clean();
-});
-
-const freePort = async (): Promise<number> => {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-};
-
-/** Waits for something to become true; the test's own time-out is the only clock. */
-const until = async <T>(
-  what: () => Promise<T | null | false | undefined> | T | null | false | undefined,
-): Promise<T> => {
-  for (;;) {
-    const value = await what();
-    if (value) return value;
-    await new Promise((resolve) => setTimeout(resolve, 20));
-  }
-};
-
-interface Node {
-  at: string;
-  controller: Controller;
-  stop: () => void;
-}
-
-/** `lonely`: a node that no peer reaches and that reaches none. */
-const cluster = async (count: number, capacity = 3, leaderLeaseMs = 600, lonely = -1, reportS = 0.2) => {
-  const state = new StateService();
-  const cloud = new Cloud(capacity);
-  const fronts = await Promise.all(Array.from({ length: count }, () => state.front()));
-  const cloudAt = await cloud.listen();
-  cleanups.push(
-    () => state.close(),
-    () => cloud.close(),
-  );
-  const ports: { api: number; back: number }[] = [];
-  for (let i = 0; i < count; i += 1) ports.push({ api: await freePort(), back: await freePort() });
-  cloud.nodes = ports.map((p) => `127.0.0.1:${p.api}`);
-  cloud.names = ports.map((_, i) => `node-${i}`);
-  const nowhere = await freePort();
-  const backOf = (i: number, j: number) => (i === lonely || j === lonely ? nowhere : ports[j]!.back);
-  const start = (i: number): Node => {
-    const base = JSON.parse(settingsText()) as { params: { workers: unknown } };
-    base.params.workers = { report_s: reportS, lease_s: 16, cancel_s: 40 };
-    const settings = parseSettings(
-      JSON.stringify({
-        ...base,
-        node: `node-${i}`,
-        api_addr: `127.0.0.1:${ports[i]!.api}`,
-        back: `127.0.0.1:${ports[i]!.back}`,
-        seeds: ports.flatMap((_, j) =>
-          j === i ? [] : [{ node: `node-${j}`, zone: 'a', endpoint: `127.0.0.1:${backOf(i, j)}` }],
-        ),
-        outside: { cloud: cloudAt, state: fronts[i]!.at },
-      }),
-    );
-    const controller = new Controller(settings, { ...DEFAULT_POLICY, leaderLeaseMs }, log, new Jitter(i + 1));
-    const api = serveApi(settings, makeApi(controller, log), log);
-    const peers: Server = servePeers(
-      settings.back,
-      (q) => controller.respond(q),
-      () => {},
-    );
-    controller.start();
-    const stop = () => {
-      controller.stop();
-      api.closeAllConnections();
-      api.close();
-      peers.close();
-    };
-    cleanups.push(stop);
-    return { at: `127.0.0.1:${ports[i]!.api}`, controller, stop };
-  };
-  const nodes = ports.map((_, i) => start(i));
-  for (const node of nodes)
-    await until(async () => (await post(node.at, '/up', undefined, 'GET'))?.status === 200);
-  await until(() => nodes.some((n) => n.controller.authority() === 'lead'));
-  return { state, cloud, nodes, fronts, start };
-};
-
-const body = (id: string, change: object = {}) => ({
-  Ref: id,
-  Lane: 'any',
-  Crew: 'blue',
-  Shape: 'sweep',
-  Rank: 'standard',
-  Pieces: 3,
-  Cpus: 1,
-  Accelerators: 0,
-  MemoryGb: 1,
-  Bundle: 'img',
-  ImageGb: 1,
-  Hulls: null,
-  Yard: null,
-  OneZone: false,
-  Scatter: false,
-  Loaners: true,
-  GuessS: 5,
-  BookmarkS: 0,
-  StowS: 0,
-  DueS: null,
-  ...change,
-});
-
-const status = async (at: string, id: string) =>
-  (await post(at, `/api/jobs/${id}`, undefined, 'GET')) as {
-    status: number;
-    body: Record<string, unknown>;
-  } | null;
+afterEach(cleanUp);
 
 describe('the service against stand-ins', () => {
   it('runs a job to its end through any node, and says the same of it everywhere and ever after', async () => {
--- a/test/stand-ins/cloud.ts
+++ b/test/stand-ins/cloud.ts
@@ -128,6 +128,8 @@
   /** Takes requests and never answers them; how many came, and how many of them were given up. */
   silent = false;
   unanswered = 0;
+  /** Answers what is none of the protocol's. */
+  odd = false;
   givenUp = 0;
   readonly starts: string[] = [];
   readonly workers = new Map<string, Worker>();
@@ -159,6 +161,7 @@
       res.on('close', () => (this.givenUp += 1));
       return;
     }
+    if (this.odd) return sendJson(res, 200, { Hulls: 7, Berths: 'none' });
     const path = (req.url ?? '').split('?')[0];
     if (path === '/machine_types') {
       const Hulls = [
--- /dev/null
+++ b/test/standing.test.ts
@@ -0,0 +1,157 @@
+/** Standing services, and limits of the state service that fall, against the stand-ins. */
+import { performance } from 'node:perf_hooks';
+import pino from 'pino';
+import { afterEach, describe, expect, it, vi } from 'vitest';
+import { parseEndpoint } from '../src/adapters/settings.js';
+import { StateClient } from '../src/adapters/state-client.js';
+import { post } from './stand-ins/cloud.js';
+import { body, cleanUp, cleanups, cluster, status, until } from './stand-ins/cluster.js';
+import { StateService } from './stand-ins/state-service.js';
+
+afterEach(cleanUp);
+
+const service = (id: string, change: object = {}) =>
+  body(id, { Shape: 'daemon', Rank: 'critical', Pieces: 2, Loaners: false, GuessS: 0, ...change });
+
+describe('a service against stand-ins', () => {
+  it('runs through ends and takeovers until it is cancelled, and is said to be withdrawn ever after', async () => {
+    const { nodes, cloud } = await cluster(3, 4);
+    // Each replica ends after a moment.
+    cloud.taskMs = 150;
+    expect((await post(nodes[0]!.at, '/api/jobs', service('job-1')))?.status).toBe(201);
+    expect((await post(nodes[1]!.at, '/api/jobs', service('job-1')))?.status).toBe(200);
+    await until(() => cloud.starts.length >= 4);
+    cloud.taskMs = 10_000_000;
+    await until(async () => (await status(nodes[2]!.at, 'job-1'))?.body.running === 2);
+    expect((await status(nodes[0]!.at, 'job-1'))?.body).toMatchObject({
+      Status: 'running',
+      done: 0,
+      Shape: 'daemon',
+      Pieces: 2,
+    });
+    const leader = nodes.find((n) => n.controller.authority() === 'lead')!;
+    leader.stop();
+    const others = nodes.filter((n) => n !== leader);
+    await until(() => others.some((n) => n.controller.authority() === 'lead'));
+    for (const node of others) await until(async () => (await status(node.at, 'job-1'))?.body.running === 2);
+    expect(new Set(cloud.starts).size).toBe(cloud.starts.length);
+    await until(async () => (await post(others[0]!.at, '/api/jobs/job-1/abort', undefined))?.status === 200);
+    await until(() => [...cloud.workers.values()].every((w) => w.running().length === 0));
+    for (const node of others)
+      expect((await status(node.at, 'job-1'))?.body).toMatchObject({ Status: 'withdrawn' });
+    expect((await post(others[1]!.at, '/api/jobs', service('job-1')))?.body).toMatchObject({
+      Status: 'withdrawn',
+    });
+  });
+
+  it('is refused with 422 when all its replicas together need more than its team may use, an array is not', async () => {
+    const { nodes, state } = await cluster(1);
+    const { at } = nodes[0]!;
+    expect((await post(at, '/api/jobs', service('job-1', { Pieces: 65 })))?.status).toBe(422);
+    expect((await post(at, '/api/jobs', body('job-2', { Pieces: 65 })))?.status).toBe(201);
+    expect((await post(at, '/api/jobs', service('job-3', { Pieces: 64 })))?.status).toBe(201);
+    expect((await post(at, '/api/jobs', service('job-4', { Shape: 'gang' })))?.body).toMatchObject({
+      error: expect.stringMatching(/^Shape/),
+    });
+    expect((await status(at, 'job-1'))?.status).toBe(404);
+    expect(state.keys.has('j/job-3')).toBe(true);
+  });
+});
+
+describe('limits of the state service that fall', () => {
+  it('in mid-run, to what the settings said and then below, stop nothing', async () => {
+    const next = { value_kb: 1, txn_ops: 3, write_rps: 200 };
+    const { nodes, state, cloud } = await cluster(2, 6, 600, -1, 0.2, { state: { next } });
+    state.limits = { valueBytes: 8192, txnOps: 16, writeRps: 1000 };
+    const { at } = nodes[0]!;
+    cloud.taskMs = 10_000_000;
+    await post(at, '/api/jobs', service('job-1', { Pieces: 4 }));
+    await until(async () => (await status(at, 'job-1'))?.body.running === 4);
+    cloud.taskMs = 20;
+    await post(at, '/api/jobs', body('job-2', { Pieces: 40 }));
+    await until(async () => (await status(at, 'job-2'))?.body.Status === 'done');
+    state.limits = { valueBytes: 1024, txnOps: 3, writeRps: 200 };
+    for (let i = 0; i < 10; i += 1)
+      await until(
+        async () => (await post(at, '/api/jobs', body(`job-3${i}`, { Pieces: 12 })))?.status === 201,
+      );
+    for (let i = 0; i < 10; i += 1)
+      await until(async () => (await status(at, `job-3${i}`))?.body.Status === 'done');
+    // What obeys the settings is never refused for its size.
+    expect(state.refused).toEqual([]);
+    state.limits = { valueBytes: 500, txnOps: 2, writeRps: 200 };
+    await post(at, '/api/jobs', body('job-4', { Pieces: 40 }));
+    await until(async () => (await status(at, 'job-4'))?.body.Status === 'done');
+    expect(new Set(state.refused).size).toBe(state.refused.length);
+    expect((await status(at, 'job-1'))?.body.running).toBe(4);
+    expect(new Set(cloud.starts).size).toBe(cloud.starts.length);
+  });
+
+  it('refuse a description that no longer fits with a true reason, and answer 200 for one that was accepted', async () => {
+    const { nodes, state } = await cluster(2);
+    const { at } = nodes[0]!;
+    const large = (id: string) => body(id, { Hulls: ['c8', ...Array(40).fill('x'.repeat(30))], Pieces: 500 });
+    expect((await post(at, '/api/jobs', large('job-1')))?.status).toBe(201);
+    state.limits.valueBytes = 600;
+    expect((await post(at, '/api/jobs', large('job-1')))?.status).toBe(200);
+    expect((await post(nodes[1]!.at, '/api/jobs', large('job-1')))?.status).toBe(200);
+    const refused = await post(nodes[1]!.at, '/api/jobs', large('job-2'));
+    expect(refused?.status).toBe(422);
+    expect(refused?.body).toMatchObject({
+      error: expect.stringMatching(/larger than what the state service/),
+    });
+    expect((await status(at, 'job-2'))?.status).toBe(404);
+  });
+
+  it('in rate are met by lower shares of one’s own, until the service has refused nothing for a while', async () => {
+    let now = 1000;
+    const clock = vi.spyOn(performance, 'now').mockImplementation(() => now);
+    cleanups.push(() => clock.mockRestore());
+    const state = new StateService();
+    cleanups.push(() => state.close());
+    const at = parseEndpoint(await state.listen());
+    const client = new StateClient(at, { rps: 1000, writeRps: 8, lowered: { rps: 1000, writeRps: 4 } });
+    cleanups.push(() => client.close());
+    let n = 0;
+    const write = () => {
+      n += 1;
+      return client.txn([], [{ put: `k/${n}`, value: n }], 0);
+    };
+    /** How many changes it lets out within one second that stands still. */
+    const most = async () => {
+      now += 1000;
+      let out = 0;
+      while (typeof (await write()) === 'object') out += 1;
+      return out;
+    };
+    expect(await most()).toBe(8);
+    state.limited = true;
+    now += 1000;
+    expect(await write()).toBe('refused');
+    state.limited = false;
+    expect(client.lowered).toBe(true);
+    for (let i = 0; i < 3; i += 1) expect(await most()).toBe(4);
+    now += 20_000;
+    await most();
+    expect(client.lowered).toBe(false);
+    expect(await most()).toBe(8);
+  });
+});
+
+describe('malformed answers', () => {
+  it('of the cloud and the state service change nothing and are logged once each', async () => {
+    const lines: string[] = [];
+    const log = pino({ level: 'info' }, { write: (line: string) => lines.push(line) });
+    const { nodes, cloud, state } = await cluster(1, 3, 600, -1, 0.2, { log });
+    const { at } = nodes[0]!;
+    cloud.odd = true;
+    state.multi({ Apply: [{ Write: 'j/job-000077', Data: { odd: true } }] });
+    const told = () => lines.filter((l) => l.includes('answer of an unknown form'));
+    await post(at, '/api/jobs', body('job-1', { Pieces: 1 }));
+    await until(() => told().some((l) => l.includes('rental')));
+    cloud.odd = false;
+    await until(async () => (await status(at, 'job-1'))?.body.Status === 'done');
+    const rentals = told().filter((l) => l.includes('rental'));
+    expect(rentals).toHaveLength(1);
+  });
+});
