--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -1,6 +1,6 @@
 /** Which machines to rent, replace and return. */
 import { mayUseMachine, teamRoom, zoneAllows } from './backfill.js';
-import { ordinaryNeed } from './services.js';
+import { isReplica, ordinaryNeed } from './services.js';
 import {
   type CoreState,
   type Job,
@@ -9,6 +9,7 @@
   occupies,
   type RentOption,
   release,
+  SUSPECT_MACHINES,
 } from './state.js';
 import {
   type Effect,
@@ -331,6 +332,22 @@
   return effects;
 };
 
+/** A service is not tried on other machines while the one that fails it counts as enough; several that do are not to blame. */
+const failedThere = (job: Job, m: Machine): boolean =>
+  isService(job) && job.failedOn.size < SUSPECT_MACHINES && job.failedOn.has(m.id);
+
+/** Arrays' tasks end and make room; replicas of other services do not. */
+const fitsBesideReplicas = (job: Job, m: Machine, type: MachineType): boolean => {
+  let { cpus, gpus, memoryGb } = type;
+  for (const p of m.placements.values()) {
+    if (!isReplica(p)) continue;
+    cpus -= p.entry.cpus;
+    gpus -= p.entry.gpus;
+    memoryGb -= p.entry.memoryGb;
+  }
+  return job.spec.cpus <= cpus && job.spec.gpus <= gpus && job.spec.memoryGb <= memoryGb;
+};
+
 const rentals = (state: CoreState, now: Instant): Effect[] => {
   const effects: Effect[] = [];
   if (!state.listRead) return effects;
@@ -354,7 +371,8 @@
     if (effects.length >= RENT_AT_ONCE || checked >= 50) break;
     checked += 1;
     const limit = Math.min(job.pending, teamRoom(state, job));
-    if (limit <= 0 || now < job.retryAt) continue;
+    // A service that fails where it is alone may run elsewhere; an array that pauses has failed on several machines.
+    if (limit <= 0 || (now < job.retryAt && !isService(job))) continue;
     const plain = !job.spec.oneZone && !job.spec.scatter;
     if (plain && suited.has(job.needs)) continue;
     // A service that must be spread waits for good where all machines are in a zone that has its half.
@@ -362,8 +380,7 @@
     for (const m of there ? [] : state.machines.values()) {
       const type = state.types.get(m.type);
       if (!type || !counted(m) || !mayUseMachine(job, m) || !zoneAllows(job, m)) continue;
-      if (job.spec.cpus > type.cpus || job.spec.gpus > type.gpus || job.spec.memoryGb > type.memoryGb)
-        continue;
+      if (failedThere(job, m) || !fitsBesideReplicas(job, m, type)) continue;
       there = true;
       break;
     }
--- a/src/core/services.ts
+++ b/src/core/services.ts
@@ -49,12 +49,22 @@
   return cpus * 1.5 + 2 * state.largestService;
 };
 
+const waitsInVain = (state: CoreState, now: Instant): boolean => {
+  const waitedMs = seconds(state.config.policy.firstTaskS);
+  for (const job of state.jobs.values()) {
+    if (isService(job) || job.final !== 'none' || job.held.size > 0 || job.pending <= 0) continue;
+    if (job.doneCount === 0 && now - job.submittedAt >= waitedMs && now >= job.retryAt) return true;
+  }
+  return false;
+};
+
 /**
  * Which ordinary machines arrays that may use cheap ones leave alone. Those that have replicas first, then those that were kept
  * before, taking turns among the zones, so that a zone that is lost leaves room in the others.
  */
 export const keepMachines = (state: CoreState, now: Instant): void => {
-  let left = ordinaryNeed(state, now);
+  // Nothing is kept from a job that has long waited for a first machine: there may be no others left to rent.
+  let left = waitsInVain(state, now) ? 0 : ordinaryNeed(state, now);
   const byZone = new Map<string, { m: Machine; cpus: number; rank: number }[]>();
   for (const m of state.machines.values()) {
     const type = state.types.get(m.type);
--- a/test/model/plain-backfill.ts
+++ b/test/model/plain-backfill.ts
@@ -158,6 +158,11 @@
   const keep = () => {
     const before = kept;
     kept = new Set();
+    // Nothing is kept from an array that has long waited for its first task.
+    const inVain = arrays.some(
+      (j) => left(j) === j.tasks && world.now - j.submittedAt >= world.firstTaskS * 1000,
+    );
+    if (inVain) return;
     let toKeep = 1.5 * sizes.reduce((a, b) => a + b, 0) + 2 * Math.max(0, ...sizes);
     const rank = (m: PlainMachine) => (has(m) ? 2 : before.has(m) ? 1 : 0);
     for (let turn = 0; turn < ordinary.length; turn += 1) {
--- a/test/model/simulated-world.ts
+++ b/test/model/simulated-world.ts
@@ -617,7 +617,18 @@
     }
     if (cpus * 3 > TEAMS.find((t) => t.name === owner)!.cpusMax) return null;
     const priority = this.chance(70) ? 'critical' : 'standard';
-    return { shape: 'service', priority, tasks, cpus: 1, estimateS: 0, oneZone: false, deadlineS: null };
+    // One that must be in one zone and spread over several could never run in full.
+    const spread = this.chance(30) ? { scatter: true, zone: null } : { scatter: false };
+    return {
+      shape: 'service',
+      priority,
+      tasks,
+      cpus: 1,
+      estimateS: 0,
+      oneZone: false,
+      deadlineS: null,
+      ...spread,
+    };
   }
 
   private cancel(): void {
