--- a/src/core/reports.ts
+++ b/src/core/reports.ts
@@ -127,7 +127,13 @@
   const { job, machine } = p;
   if (p.phase === 'ended') return;
   if (task.phase !== 'ended') {
-    if (task.phase === 'running' && p.startedAt === null) p.startedAt = now;
+    if (task.phase === 'running' && p.startedAt === null) {
+      p.startedAt = now;
+      if (job && isService(job)) {
+        const fields = { job: job.spec.id, task: p.entry.index, machine: machine.id };
+        note(effects, 'debug', 'replica runs', { ...fields, afterMs: Math.round(now - p.placedAt) });
+      }
+    }
     p.phase = task.phase;
     if (job) machine.images.add(job.spec.image);
     return;
