--- a/src/adapters/state-client.ts
+++ b/src/adapters/state-client.ts
@@ -86,6 +86,7 @@
   private probe: NodeJS.Timeout | null = null;
   private closed = false;
   private loweredUntil = 0;
+  private writeScale = 1;
 
   constructor(
     at: Endpoint,
@@ -133,9 +134,19 @@
 
   private noteRate(refused: boolean): void {
     if (refused) this.loweredUntil = steadyNow() + LOWERED_MS;
+    this.setRates();
+  }
+
+  /** From now on this many times its share of the changes. */
+  scaleWrites(scale: number): void {
+    this.writeScale = scale;
+    this.setRates();
+  }
+
+  private setRates(): void {
     const { rps, writeRps } = this.lowered ? this.shares.lowered : this.shares;
     this.requests.setRate(rps);
-    this.writes.setRate(writeRps);
+    this.writes.setRate(writeRps * this.writeScale);
   }
 
   /** While the service is away, this alone finds out when it is back. */
--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -41,11 +41,19 @@
 
 /** Progress that only guards against a crash may wait this long for company. */
 const PROGRESS_WAIT_MS = 700;
-/** Kept well below what one transaction may hold. */
+/** Well below what one transaction may hold. */
 const BATCH_BYTES = 40_000;
-/** Upper bounds of what a row of a ledger record takes, besides its names and the numbers that grow with the day. */
-const ENTRY_BYTES = 14;
-const ROW_BYTES = 60;
+/**
+ * A batch goes out in as many transactions as it takes, one after the other in its order: where few changes fit one, a batch of
+ * one transaction would cost a turn of the owner for each.
+ */
+const BATCH_CHANGES = 24;
+/** Upper bounds of the JSON that frames rows of a ledger record, and of numbers that stay small. */
+const RECORD_FRAME_BYTES = 40;
+const ENTRY_BYTES = 9;
+const MACHINE_BYTES = 22;
+const JOB_BYTES = 14;
+const PROGRESS_BYTES = 20;
 /** Ledger records dropped in one batch, and how many may lie about before a batch is made for them alone. */
 const DROPS_AT_ONCE = 8;
 const DROPS_ALONE = 4;
@@ -60,16 +68,19 @@
   readonly machines = new Map<MachineId, { row: LedgerRow; entries: LedgerEntry[] }>();
   readonly progress: ProgressRow[] = [];
   private readonly jobs = new Set<JobId>();
-  bytes = ROW_BYTES;
+  bytes = RECORD_FRAME_BYTES;
 
   constructor(readonly segment: Segment) {}
 
   private costOf({ entry, machine }: Placement): number {
     const row = this.machines.has(machine.id)
       ? 0
-      : ROW_BYTES + byteLength(machine.id) + byteLength(machine.type) + byteLength(machine.zone);
-    const named = this.jobs.has(entry.job) ? 0 : ROW_BYTES + entry.job.length + byteLength(entry.team);
-    return ENTRY_BYTES + String(entry.attempt).length + row + named;
+      : MACHINE_BYTES + byteLength(machine.id) + byteLength(machine.type) + byteLength(machine.zone);
+    const { job, team, cpus, gpus, memoryGb } = entry;
+    const named = this.jobs.has(job)
+      ? 0
+      : JOB_BYTES + job.length + byteLength(team) + `${cpus}${gpus}${memoryGb}`.length;
+    return ENTRY_BYTES + `${entry.index}${entry.attempt}`.length + row + named;
   }
 
   /** False when the record has no room for it. */
@@ -96,7 +107,7 @@
 
   record(state: CoreState, job: Job, number: number, limit: number): boolean {
     const chunk = job.chunks.get(number)!;
-    const cost = ROW_BYTES + job.spec.id.length + Math.ceil(chunk.bits.length / 3) * 4;
+    const cost = PROGRESS_BYTES + job.spec.id.length + Math.ceil(chunk.bits.length / 3) * 4;
     if (this.bytes + cost > limit) return false;
     this.bytes += cost;
     this.progress.push({ job: job.spec.id, from: number * job.partTasks, bits: chunk.bits.slice() });
@@ -137,14 +148,16 @@
 /** Gathers one batch; the next waits until this one is known to be stored. */
 export const nextBatch = (state: CoreState, now: Instant, effects: Effect[]): void => {
   if (state.batch) return;
-  const { txnOps, term } = state.config;
+  const { term } = state.config;
+  const most = Math.max(state.config.txnOps, BATCH_CHANGES);
   const ops: SaveOp[] = [];
   const batch: Batch = { id: state.nextBatch, entered: [], chunks: [], finals: [] };
   let changes = 0;
   let bytes = 0;
   for (const job of state.dirtyFinals) {
     // The job's record goes and the final one comes.
-    if (changes > 0 && changes + 2 > txnOps) break;
+    // Ends leave room for starts.
+    if (changes > 0 && changes + 2 > (state.toEnter.size > 0 ? most / 2 : most)) break;
     changes += 2;
     bytes += 300;
     const outcome = job.final === 'cancelled' ? 'cancelled' : 'done';
@@ -164,7 +177,7 @@
     const which = lasting ? 'lasting' : 'short';
     const draft = open[which];
     if (draft && add(draft)) return true;
-    if (changes + 1 > txnOps || bytes + openBytes() > BATCH_BYTES) return false;
+    if (changes + 1 > most || bytes + openBytes() > BATCH_BYTES) return false;
     const key = segmentKey(term, state.nextSegment);
     const next = new SegmentDraft({ key, placements: new Set(), chunks: new Map(), size: 0 });
     if (!add(next)) return false;
@@ -177,26 +190,33 @@
     state.segments.set(key, next.segment);
     return true;
   };
-  for (const p of state.toEnter) {
-    if (!put(lasts(p), (d) => d.enter(state, p, limit))) break;
-    state.toEnter.delete(p);
-    if (p.phase === 'entering') batch.entered.push(p);
+  // Replicas first: there are few, and somebody waits for each.
+  for (const lasting of [true, false]) {
+    for (const p of state.toEnter) {
+      if (lasts(p) !== lasting) continue;
+      if (!put(lasting, (d) => d.enter(state, p, limit))) break;
+      state.toEnter.delete(p);
+      if (p.phase === 'entering') batch.entered.push(p);
+    }
   }
+  // Progress that is not due only fills up what is written anyway: told with every batch, it took most of the changes.
   const progressDue = state.dirtySince !== null && now - state.dirtySince >= PROGRESS_WAIT_MS;
-  if (progressDue || ops.length > 0 || drafts.length > 0) {
+  if (progressDue || open.short) {
     for (const [key, { job, chunk: number }] of state.dirtyChunks) {
       const over = !state.jobs.has(job.spec.id) || job.final !== 'none';
-      if (!over && !put(false, (d) => d.record(state, job, number, limit))) break;
+      const add = (d: SegmentDraft) => d.record(state, job, number, limit);
+      if (!over && !(progressDue ? put(false, add) : add(open.short!))) break;
       state.dirtyChunks.delete(key);
       if (!over) batch.chunks.push({ job, chunk: number, version: job.chunks.get(number)!.version });
     }
-    state.dirtySince = state.dirtyChunks.size > 0 ? now : null;
+    if (state.dirtyChunks.size === 0) state.dirtySince = null;
   }
   const drops: SegmentKey[] = [];
   if (drafts.length > 0 || ops.length > 0 || state.deadSegments.size >= DROPS_ALONE) {
-    if (drafts.length > 0) moveThin(state, fresh, put, limit);
+    // While starts wait for their entries, nothing is moved: what ends soon ends by itself.
+    if (drafts.length > 0 && state.toEnter.size === 0) moveThin(state, fresh, put, limit);
     for (const key of state.deadSegments) {
-      if (drops.length >= DROPS_AT_ONCE || changes >= txnOps) break;
+      if (drops.length >= DROPS_AT_ONCE || changes >= most) break;
       drops.push(key);
       changes += 1;
     }
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -31,7 +31,7 @@
 const RECORD_BYTES = 14_000;
 
 /** What a ledger record may hold, by the settings' bound for a value. */
-export const recordBytes = ({ valueBytes }: CoreConfig): number => Math.min(valueBytes * 0.9, RECORD_BYTES);
+export const recordBytes = ({ valueBytes }: CoreConfig): number => Math.min(valueBytes * 0.96, RECORD_BYTES);
 
 /** Attempts a term may give out; their numbers hold the term, so none is ever given twice. */
 export const ATTEMPTS_PER_TERM = 1_000_000;
--- a/src/service/controller.ts
+++ b/src/service/controller.ts
@@ -22,7 +22,7 @@
 } from '../core/types.js';
 import { Election } from './election.js';
 import { Gossip } from './gossip.js';
-import { Leadership } from './leadership.js';
+import { BATCH_WRITES, Leadership } from './leadership.js';
 import type { Parts } from './parts.js';
 import { readJob, readTypes, TYPES_KEY } from './records.js';
 import { Users } from './users.js';
@@ -32,7 +32,6 @@
  * first, and a batch that is refused for the rate is sent again a moment later.
  */
 const BATCH_READS = 0.3;
-const BATCH_WRITES = 0.4;
 const READS_OF_ALL = 0.7;
 const ADMISSIONS_OF_ALL = 1.25;
 /** Of all sockets, how many direct orders may use at a time. */
--- a/src/service/leadership.ts
+++ b/src/service/leadership.ts
@@ -41,6 +41,11 @@
 const ABORT_MS = 2700;
 const LIST_EVERY_MS = 4000;
 const TYPES_EVERY_MS = 60_000;
+/** Admissions are counted over this long. */
+const ARRIVALS_MS = 2000;
+/** The batches' share of the write limit: at least, so that users come first, and at most, while few jobs come in. */
+export const BATCH_WRITES = 0.4;
+const MOST_BATCH_WRITES = 0.85;
 const JOBS_FOLLOW_MS = 15_000;
 
 export interface LeadershipEvents {
@@ -59,6 +64,8 @@
   /** Workers turned away while this node was cut off from all but them, and when. */
   private readonly released = new Map<MachineId, number>();
   private nextTicket = 1;
+  /** When jobs came in, of late. */
+  private arrivals: Instant[] = [];
   private current = true;
 
   constructor(
@@ -89,7 +96,7 @@
       steadyNow,
       quota.cores,
     );
-    this.persister = new Persister(parts.batchState, term, parts.log, parts.jitter);
+    this.persister = new Persister(parts.batchState, term, parts.log, parts.jitter, stateLimits.txnOps);
   }
 
   start(): void {
@@ -168,12 +175,14 @@
       return;
     }
     this.persister.stamps.set(key, revision);
+    this.arrivals.push(steadyNow());
     out.push({ kind: 'job', spec: record.spec, submittedAt: fromTimeOfDay(record.at) });
   }
 
   /** A job that this very node has just stored. */
   admitted(record: JobRecord, revision: Revision): void {
     this.persister.stamps.set(jobKey(record.spec.id), revision);
+    this.arrivals.push(steadyNow());
     this.owner.submit({ kind: 'job', spec: record.spec, submittedAt: fromTimeOfDay(record.at) });
   }
 
@@ -212,11 +221,22 @@
 
   private async ticks(): Promise<void> {
     while (this.current) {
+      this.shareWrites();
       this.owner.submit({ kind: 'tick' });
       await sleep(TICK_MS);
     }
   }
 
+  /** What admissions leave of the write limit, by the jobs that came in of late, is the batches'. */
+  private shareWrites(): void {
+    const now = steadyNow();
+    this.arrivals = this.arrivals.filter((at) => now - at < ARRIVALS_MS);
+    const { writeRps } = this.parts.settings.stateLimits;
+    const admissions = (this.arrivals.length * 1000) / ARRIVALS_MS / writeRps;
+    const share = Math.min(MOST_BATCH_WRITES, Math.max(BATCH_WRITES, MOST_BATCH_WRITES - admissions));
+    this.parts.batchState.scaleWrites(share / BATCH_WRITES);
+  }
+
   private async watchMachines(): Promise<void> {
     let typesAt = 0;
     while (this.current) {
--- a/src/service/persister.ts
+++ b/src/service/persister.ts
@@ -51,8 +51,6 @@
 export class Persister {
   /** Version of each key that this leader has read or written. */
   readonly stamps = new Map<string, Revision>();
-  /** Changes that the service is known to take at once, where it takes fewer than any setting said. */
-  private mostChanges = Number.POSITIVE_INFINITY;
   /** Records that had to be cut, by the name the core knows. */
   private readonly pieces = new Map<SegmentKey, SegmentKey[]>();
   private cuts = 0;
@@ -64,6 +62,8 @@
     private readonly term: Term,
     private readonly log: Log,
     private readonly jitter: Jitter,
+    /** Changes that the service takes at once, by the settings; should it refuse them, fewer. */
+    private mostChanges = Number.POSITIVE_INFINITY,
   ) {}
 
   stop(): void {
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -12,6 +12,7 @@
     const crowds: Record<string, number> = {};
     const services: Record<string, number> = {};
     let changes = 0;
+    let splits = 0;
     const controllers = { freezes: 0, blackouts: 0, outages: 0, slowSpells: 0 };
     const seeds = [...Array.from({ length: 100 }, (_, i) => i + 1), 1192, 1370, 1410, 1670, 1729];
     for (const seed of seeds) {
@@ -25,6 +26,7 @@
       deaf += world.deafSpells;
       quick += world.quickReturns;
       changes += world.changes;
+      splits += world.splits;
       for (const [kind, n] of Object.entries(world.services)) services[kind] = (services[kind] ?? 0) + n;
       for (const [kind, n] of Object.entries(world.crowds)) crowds[kind] = (crowds[kind] ?? 0) + n;
       for (const kind of Object.keys(controllers) as (keyof typeof controllers)[])
@@ -38,6 +40,7 @@
     expect(deaf).toBeGreaterThan(100);
     expect(quick).toBeGreaterThan(50);
     expect(changes).toBeGreaterThan(50);
+    expect(splits).toBeGreaterThan(50);
     expect(services.starts).toBeGreaterThan(800);
     expect(services.ends).toBeGreaterThan(150);
     expect(services.moves).toBeGreaterThan(15);
