Machines with replicas are replaced after 2.5 reports of silence, also where many are silent

Many silent machines get two leases; those with replicas are few. Where more than 60% are silent nothing changes: the fault is more likely ours.

--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -30,6 +30,11 @@
 const DELETE_MAX = 100;
 /** More silent machines than this share of the fleet, its usual spare room, are not replaced at once. */
 const MANY_SHARE = 0.2;
+/** With more than this share of the fleet silent, this leader is more likely cut off than they. */
+const OURS_SHARE = 0.6;
+/** Silence after which a machine with replicas is replaced: in reports, and no less than a lost answer and a new connection take. */
+const REPLICA_REPORTS = 2.5;
+const REPLICA_SILENT_MS = 10_000;
 const RENT_ANSWER_MS = 15_000 as Millis;
 
 export const setTypes = (state: CoreState, types: readonly MachineType[]): void => {
@@ -177,10 +182,18 @@
   // Many at once are more likely cut off or hanging than dead, or the fault is ours: they get time to come back, since a
   // replacement has to boot first. Those that died are listed as failed meanwhile.
   const many = silent > Math.max(2, seen * MANY_SHARE);
+  // A replica is missed at once. Machines that hold some are few, so that replacing them is no mass deletion; unless so many
+  // are silent that the fault is more likely ours, and the replicas run.
+  const ours = silent > Math.max(2, seen * OURS_SHARE);
+  const replicaLimit = Math.min(limit, Math.max(REPLICA_REPORTS * reportMs, REPLICA_SILENT_MS));
+  const patience = (m: Machine): number => {
+    if (!ours && m.everSeen && [...m.placements.values()].some(isReplica)) return replicaLimit;
+    return many ? 2 * leaseMs : limit;
+  };
   for (const m of state.machines.values()) {
     const quiet = now - m.lastSeen;
     const waits = m.everSeen || m.placements.size > 0;
-    if (waits && m.lostAt === null && quiet > (many ? 2 * leaseMs : limit)) {
+    if (waits && m.lostAt === null && quiet > replicaLimit && quiet > patience(m)) {
       m.lostAt = now;
       m.lostWhy = 'silent';
     }
--- a/test/services.test.ts
+++ b/test/services.test.ts
@@ -8,6 +8,7 @@
   Instant,
   JobId,
   MachineId,
+  Millis,
   Order,
   ReportedTask,
   SaveOp,
@@ -280,6 +281,44 @@
   });
 });
 
+describe('machines that fall silent', () => {
+  /** Of ten machines, one with a replica; these many of them fall silent. When each is deleted. */
+  const deletions = (silent: number): Map<string, number> => {
+    const ids = Array.from({ length: 10 }, (_, i) => `n-${i}`);
+    const s = new Story(core({ reportMs: 4000 as Millis }));
+    const fleet = new Fleet(s, ids);
+    s.submit('job-1', service({ tasks: 1 }));
+    for (let i = 0; i < 3; i += 1) fleet.round();
+    const replica = fleet.started[0]!.machine;
+    const gone = [replica, ...ids.filter((id) => id !== replica)].slice(0, silent);
+    for (const id of gone) fleet.holds.delete(id);
+    const from = s.now;
+    const at = new Map<string, number>();
+    s.effects = [];
+    while (s.now < from + 60_000) {
+      fleet.round();
+      for (const e of s.effects.splice(0)) {
+        if (e.kind === 'delete')
+          for (const id of e.machines) at.set(id === replica ? 'replica' : id, s.now - from);
+      }
+    }
+    return at;
+  };
+
+  it('with a replica are replaced soon, also where many are silent at once, the others with patience', () => {
+    const at = deletions(4);
+    expect(at.get('replica')).toBeLessThan(13_000);
+    const others = [...at].filter(([id]) => id !== 'replica').map(([, when]) => when);
+    expect(others).toHaveLength(3);
+    // Two leases.
+    for (const when of others) expect(when).toBeGreaterThan(28_000);
+  });
+
+  it('are not replaced soon, whatever they hold, where so many are silent that the fault is ours', () => {
+    for (const when of deletions(8).values()) expect(when).toBeGreaterThan(28_000);
+  });
+});
+
 describe('replicas in the placement ledger', () => {
   it('stand in records of their own, which what ends soon does not make thin', () => {
     const s = new Story();
