--- a/test/services.test.ts
+++ b/test/services.test.ts
@@ -158,7 +158,7 @@
     const notice = { 'n-1': { spot: true, noticeS: null as number | null } };
     const s = new Story();
     const fleet = new Fleet(s, ['n-1'], notice);
-    s.submit('job-1', service({ tasks: 1, spotOk: true }));
+    s.submit('job-1', service({ tasks: 1, spotOk: true, estimateS: 500 }));
     for (let i = 0; i < 3; i += 1) fleet.round();
     expect(fleet.on('n-1', 'job-1')).toBe(1);
     notice['n-1'].noticeS = 30;
@@ -166,7 +166,8 @@
     fleet.round();
     s.pass(1000);
     // Nowhere to go: it runs on for as long as it can.
-    expect(kills(s.effects)).toEqual([]);
+    const there = [...s.state.machines.get('n-1' as MachineId)!.placements.values()];
+    expect(there.map((p) => p.kill)).toEqual([null]);
     const before = fleet.started.length;
     fleet.add('n-2');
     s.pass(1000);
@@ -260,24 +261,26 @@
   });
 
   it('are rented for services that may use no others, and not returned while they are needed', () => {
-    const s = new Story(core({}, { idleReturnS: 10 }));
+    // Nothing else asks for machines.
+    const s = new Story(core({}, { idleReturnS: 10, standingShare: 0 }));
     const fleet = new Fleet(s, ['n-1', 'n-2'], { 'n-1': { spot: true }, 'n-2': { spot: false } });
-    // What was asked for when the fleet came up has been refused.
-    for (const e of s.effects) {
-      if (e.kind === 'rent') s.send({ kind: 'rented', request: e.request, result: 'refused', machines: [] });
-    }
-    s.pass(8000);
     s.effects = [];
     s.submit('job-1', service({ tasks: 4 }));
     for (let i = 0; i < 3; i += 1) fleet.round();
     const rents = s.effects.filter((e) => e.kind === 'rent');
-    expect(rents[0]).toMatchObject({ spot: false });
+    expect(rents.length).toBeGreaterThan(0);
+    for (const e of rents) expect(e.spot).toBe(false);
+    // It comes, and stands idle.
+    fleet.change['n-3'] = { spot: false };
+    fleet.add('n-3');
     for (let i = 0; i < 60; i += 1) {
       fleet.round();
       s.pass(500);
     }
     const deleted = s.effects.flatMap((e) => (e.kind === 'delete' ? [...e.machines] : []));
     expect(deleted).not.toContain('n-2');
+    expect(deleted).not.toContain('n-3');
+    expect(deleted).toContain('n-1');
   });
 });
 
