--- a/test/services.test.ts
+++ b/test/services.test.ts
@@ -154,6 +154,37 @@
     expect(fleet.on('n-1', 'job-1')).toBe(0);
   });
 
+  it('that the only machine there fails gets another to run on', () => {
+    const s = new Story(core({}, { standingShare: 0 }));
+    const fleet = new Fleet(s, ['n-1']);
+    s.submit('job-1', service({ tasks: 1, spotOk: true }));
+    fleet.round();
+    expect(s.effects.filter((e) => e.kind === 'rent')).toEqual([]);
+    for (let i = 0; i < 4; i += 1) fleet.round(() => 'error');
+    expect(s.effects.filter((e) => e.kind === 'rent')).toHaveLength(1);
+    fleet.add('n-2');
+    for (let i = 0; i < 20; i += 1) fleet.round((_, m) => (m === 'n-1' ? 'error' : null));
+    expect(view(s, 'job-1')).toMatchObject({ running: 1 });
+  });
+
+  it('starts at once on a machine where nothing but replicas run: its check-in waits like an idle one’s', () => {
+    const s = new Story();
+    const fleet = new Fleet(s, ['n-1']);
+    s.submit('job-1', service({ tasks: 1 }));
+    for (let i = 0; i < 3; i += 1) fleet.round();
+    const told = fleet.holds.get('n-1')!.map(running);
+    const answer = (effects: readonly Effect[]) =>
+      effects.find((e) => e.kind === 'answer' && e.ticket === 990) as { orders: Order[] } | undefined;
+    const sent = report('n-1', 900, s.state.config.term, told);
+    s.effects = [];
+    s.send({ kind: 'report', report: sent, ticket: 990 as Ticket });
+    s.pass(500);
+    expect(answer(s.effects)).toBeUndefined();
+    s.submit('job-2', service({ tasks: 1 }));
+    s.pass(250);
+    expect(answer(s.effects)?.orders).toMatchObject([{ op: 'start', job: 'job-2' }]);
+  });
+
   it('leaves a machine with a notice once room is held elsewhere, and starts there only when proven gone', () => {
     const notice = { 'n-1': { spot: true, noticeS: null as number | null } };
     const s = new Story();
@@ -326,8 +357,13 @@
   it('stand in records of their own, which what ends soon does not make thin', () => {
     const s = new Story();
     const fleet = new Fleet(s, ['n-1', 'n-2']);
-    s.submit('job-900', service({ tasks: 4 }));
-    for (let i = 0; i < 3; i += 1) fleet.round();
+    // They begin together, so that their entries come in one batch.
+    const specs = [job('job-900', service({ tasks: 4 })), job('job-901', { tasks: 12, spotOk: false })];
+    const now = s.now as Instant;
+    const effects = s.send(...specs.map((spec) => ({ kind: 'job', spec, submittedAt: now }) as const));
+    const batch = effects.find((e) => e.kind === 'save');
+    expect(batch?.ops.map((op) => op.kind)).toEqual(['segment', 'segment']);
+    fleet.round();
     s.effects = [];
     for (let i = 0; i < 60; i += 1) {
       s.submit(`job-${i}`, { tasks: 6, spotOk: false });
