--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -45,9 +45,12 @@
 const BATCH_BYTES = 40_000;
 /**
  * A batch goes out in as many transactions as it takes, one after the other in its order: where few changes fit one, a batch of
- * one transaction would cost a turn of the owner for each.
+ * one transaction would cost a turn of the owner for each. It holds no more than is written in half a second, since all
+ * of it waits for its last change.
  */
 const BATCH_CHANGES = 24;
+const BATCH_S = 0.5;
+const LEAST_BATCH_CHANGES = 4;
 /** Upper bounds of the JSON that frames rows of a ledger record, and of numbers that stay small. */
 const RECORD_FRAME_BYTES = 40;
 const ENTRY_BYTES = 9;
@@ -148,8 +151,11 @@
 /** Gathers one batch; the next waits until this one is known to be stored. */
 export const nextBatch = (state: CoreState, now: Instant, effects: Effect[]): void => {
   if (state.batch) return;
-  const { term } = state.config;
-  const most = Math.max(state.config.txnOps, BATCH_CHANGES);
+  const { term, txnOps, writeRps } = state.config;
+  const most = Math.min(
+    Math.max(txnOps, BATCH_CHANGES),
+    Math.max(LEAST_BATCH_CHANGES, Math.ceil(writeRps * BATCH_S)),
+  );
   const ops: SaveOp[] = [];
   const batch: Batch = { id: state.nextBatch, entered: [], chunks: [], finals: [] };
   let changes = 0;
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -47,6 +47,8 @@
   readonly keepAliveMs: Millis;
   readonly listLagMs: Millis;
   readonly txnOps: number;
+  /** Changes a second that it is sure to take. */
+  readonly writeRps: number;
   /** What a value of the state service may hold. */
   readonly valueBytes: number;
   /** Attempts that one machine may hold at a time: its reports must stay readable. */
--- a/src/service/leadership.ts
+++ b/src/service/leadership.ts
@@ -86,6 +86,7 @@
       keepAliveMs: this.keepAliveMs(),
       listLagMs: seconds(cloudLimits.listLagS),
       txnOps: stateLimits.txnOps,
+      writeRps: stateLimits.nextWriteRps,
       valueBytes: stateLimits.valueBytes,
       maxPerMachine: MAX_PER_MACHINE,
     });
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -108,6 +108,31 @@
   });
 });
 
+describe('a batch', () => {
+  it.each([
+    [4, 4],
+    [20, 10],
+    [1000, 32],
+  ])('holds no more than half a second’s changes (at %i a second: %i)', (writeRps, most) => {
+    const state = core({ writeRps, txnOps: 32, valueBytes: 300 });
+    const sizes: number[] = [];
+    const run = (...commands: Command[]): void => {
+      for (const e of step(state, commands, 0 as Instant, 'lead')) {
+        if (e.kind !== 'save') continue;
+        sizes.push(e.ops.length);
+        run({ kind: 'saved', batch: e.batch });
+      }
+    };
+    const odd = (n: number): Command => ({
+      kind: 'report',
+      report: report(`n-${n}`, 1, 7, [task(`job-${n}`, 0, n)]),
+      ticket: null,
+    });
+    run({ kind: 'loaded' }, ...Array.from({ length: 100 }, (_, n) => odd(n)));
+    expect(Math.max(...sizes)).toBe(most);
+  });
+});
+
 describe('a leader whose batch is refused as too large', () => {
   const log = pino({ level: 'silent' });
   const setUp = async () => {
--- a/test/model/build.ts
+++ b/test/model/build.ts
@@ -80,6 +80,7 @@
     keepAliveMs: 10_000 as Millis,
     listLagMs: 4000 as Millis,
     txnOps: 16,
+    writeRps: 100,
     valueBytes: 8192,
     maxPerMachine: 64,
     ...change,
