--- a/src/core/backfill.ts
+++ b/src/core/backfill.ts
@@ -499,6 +499,21 @@
   return Math.min(ran, save);
 };
 
+/**
+ * Before a new leader's wait is over, critical services alone are placed, on machines that have answered it: each replica is
+ * missed at once, what may run where is known from the ledger, and it is not the order among arrays that the wait is for.
+ */
+export const placeWaitingReplicas = (state: CoreState, now: Instant): Round => {
+  const placed: Placement[] = [];
+  let waits = false;
+  for (const job of state.jobs.values()) waits ||= goesFirst(job) && job.pending > 0 && job.final === 'none';
+  if (!waits) return { placed, ranked: [] };
+  const ranked = rankWaiting(state, now).filter(({ job }) => goesFirst(job));
+  const rooms = roomsOf(state, now);
+  for (const { job } of ranked) placed.push(...placeJob(state, job, rooms, now, 0).placed);
+  return { placed, ranked };
+};
+
 export const runRound = (state: CoreState, now: Instant): Round => {
   const ranked = rankWaiting(state, now);
   const leaving = replicasToMove(state, now);
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -1,5 +1,5 @@
 /** The core's one entry: commands in, effects out. No input or output, no clock, no randomness. */
-import { runRound } from './backfill.js';
+import { placeWaitingReplicas, type Round, runRound } from './backfill.js';
 import { deleted, everyLeaseOver, listed, manageFleet, rented, setTypes } from './fleet.js';
 import { abortJob, addJob } from './jobs.js';
 import { nextBatch, onLedger, onProgress, onSaved } from './ledger.js';
@@ -57,6 +57,14 @@
   }
 };
 
+const notePlaced = (state: CoreState, { placed }: Round, effects: Effect[]): void => {
+  if (placed.length === 0) return;
+  note(effects, 'debug', 'placed', {
+    head: state.head,
+    tasks: placed.map((p) => `${p.entry.job}/${p.entry.index}@${p.machine.id}`),
+  });
+};
+
 export const step = (
   state: CoreState,
   commands: readonly Command[],
@@ -78,13 +86,9 @@
       // Whatever an unreadable record spoke of has ended by now, or its machine has reported it.
       for (const key of state.unreadable) state.deadSegments.add(key);
       state.unreadable.clear();
-      const round = runRound(state, now);
-      if (round.placed.length > 0) {
-        note(effects, 'debug', 'placed', {
-          head: state.head,
-          tasks: round.placed.map((p) => `${p.entry.job}/${p.entry.index}@${p.machine.id}`),
-        });
-      }
+      notePlaced(state, runRound(state, now), effects);
+    } else if (now < state.placeFrom && state.unreadable.size === 0) {
+      notePlaced(state, placeWaitingReplicas(state, now), effects);
     }
     nextBatch(state, now, effects);
   }
--- a/test/services.test.ts
+++ b/test/services.test.ts
@@ -4,6 +4,7 @@
 import { segmentKey } from '../src/core/state.js';
 import { step } from '../src/core/step.js';
 import type {
+  Command,
   Effect,
   Instant,
   JobId,
@@ -380,6 +381,40 @@
     expect(s.state.segments.size).toBeLessThan(15);
   });
 
+  it.each([false, true])(
+    'of a critical service are placed within a new leader’s wait, arrays after it, none while a record cannot be read (%s)',
+    (unreadable) => {
+      const state = core({ term: 8 as Term });
+      const first = new Map<string, number>();
+      const told: ReportedTask[] = [];
+      const send = (now: number, ...commands: Command[]): void => {
+        for (const e of step(state, commands, now as Instant, 'lead')) {
+          if (e.kind === 'save') send(now, { kind: 'saved', batch: e.batch });
+          if (e.kind !== 'answer') continue;
+          for (const o of e.orders ?? []) {
+            if (o.op !== 'start') continue;
+            told.push(running(o));
+            first.set(o.job, first.get(o.job) ?? now);
+          }
+        }
+      };
+      const odd: Command = { kind: 'unreadable', segment: segmentKey(7 as Term, 1) };
+      send(0, { kind: 'types', types: [type('c8')] }, ...(unreadable ? [odd] : []));
+      for (const spec of [job('job-1', service()), job('job-2', { spotOk: false })])
+        send(0, { kind: 'job', spec, submittedAt: 0 as Instant });
+      send(0, { kind: 'loaded' });
+      for (let now = 200, seq = 1; now < 40_000; now += 200, seq += 1) {
+        const said = report('n-1', seq, seq < 3 ? 7 : 8, [...told]);
+        send(now, { kind: 'report', report: said, ticket: seq as Ticket });
+      }
+      // 1.3 report periods; keep-alive and lease.
+      const wait = unreadable ? 26_000 : 2600;
+      expect(first.get('job-2')).toBeGreaterThanOrEqual(wait);
+      if (unreadable) expect(first.get('job-1')).toBeGreaterThanOrEqual(wait);
+      else expect(first.get('job-1')).toBeLessThan(1500);
+    },
+  );
+
   it('of a former leader stay where they are until their machine answers for them', () => {
     const state = core({ term: 8 as Term });
     const spec = job('job-1', service({ tasks: 2 }));
