--- a/test/services.test.ts
+++ b/test/services.test.ts
@@ -277,6 +277,33 @@
   });
 });
 
+describe('a machine is rented', () => {
+  const rents = (s: Story) => s.effects.flatMap((e) => (e.kind === 'rent' ? [e] : []));
+
+  it('in a zone where a service that must be spread may still go', () => {
+    const s = new Story(core({}, { standingShare: 0 }));
+    const fleet = new Fleet(s, ['n-1', 'n-2']);
+    s.submit('job-1', service({ tasks: 2, spotOk: true, scatter: true }));
+    for (let i = 0; i < 3; i += 1) fleet.round();
+    expect(view(s, 'job-1')).toMatchObject({ running: 1 });
+    expect(rents(s).length).toBeGreaterThan(0);
+    for (const e of rents(s)) expect(e.zone).toBe('b');
+  });
+
+  it('for an array that fits no machine beside the replicas there, which do not make room', () => {
+    for (const cpus of [3, 4]) {
+      const s = new Story(core({}, { standingShare: 0, headroom: 1 }));
+      const fleet = new Fleet(s, ['n-1', 'n-2']);
+      s.submit('job-1', service({ tasks: 10, spotOk: true }));
+      for (let i = 0; i < 3; i += 1) fleet.round();
+      expect([fleet.on('n-1', 'job-1'), fleet.on('n-2', 'job-1')]).toEqual([5, 5]);
+      s.submit('job-2', { tasks: 1, cpus });
+      for (let i = 0; i < 3; i += 1) fleet.round();
+      expect(rents(s).length > 0).toBe(cpus > 3);
+    }
+  });
+});
+
 describe('ordinary machines', () => {
   const spots = { 'n-1': { spot: false }, 'n-2': { spot: true } };
 
