--- a/src/core/view.ts
+++ b/src/core/view.ts
@@ -35,10 +35,13 @@
   return booting > 0 ? `${reason}${head}; ${booting} machines booting` : `${reason}${head}`;
 };
 
-/** null for a job this leader does not know as unfinished, or whose end is not stored yet. */
+/**
+ * null for a job this leader does not know as unfinished, or whose end is decided but not known to be stored: another node may
+ * read the stored end before this one learns of it, and "running" after that would take it back. The state service is asked then.
+ */
 export const viewJob = (state: CoreState, id: JobId, now: Instant): CoreJobView | null => {
   const job = state.jobs.get(id);
-  if (!job) return null;
+  if (!job || job.final !== 'none') return null;
   const running = runningTasks(job);
   const waiting = whyWaiting(state, job, now);
   return {
--- a/test/services.test.ts
+++ b/test/services.test.ts
@@ -128,6 +128,21 @@
     expect(view(s, 'job-1')).toBeNull();
   });
 
+  it('of which the end is decided but not stored is not called running any more by its leader', () => {
+    const state = core();
+    const now = 0 as Instant;
+    step(state, [{ kind: 'loaded' }], now, 'lead');
+    for (const id of ['job-1', 'job-2'])
+      step(state, [{ kind: 'job', spec: job(id, service()), submittedAt: now }], now, 'lead');
+    expect(viewJob(state, 'job-1' as JobId, now)).toMatchObject({ status: 'queued' });
+    // Its batch may take several transactions: another node may have read the end before the leader hears of it.
+    const abort = { kind: 'abort', job: 'job-1' as JobId, ticket: 9 as Ticket } as const;
+    const effects = step(state, [abort], now, 'lead');
+    expect(effects.some((e) => e.kind === 'settled')).toBe(false);
+    expect(viewJob(state, 'job-1' as JobId, now)).toBeNull();
+    expect(viewJob(state, 'job-2' as JobId, now)).toMatchObject({ status: 'queued' });
+  });
+
   it('that fails at once everywhere pauses for longer and longer, holds up nobody and costs no machine', () => {
     const s = new Story();
     const fleet = new Fleet(s, ['n-1', 'n-2']);
