No cancelled task is kept alive without a lease: its kill goes out even then

Cause: a leader that has confirmed a cancellation and lost its lease the next moment went on answering with no orders at all. A worker that had been held by the former leader came to it with a task of the cancelled job and was kept alive beyond cancel_s; so was a task whose end the leader had stored without learning of it. Found by going through the code; the drawn histories now bring the meeting about (refusal of the leader alone, cancellations by the next, outage for all).

The test of a cancelled job is renamed: kills no longer wait for the store, the answer to the user does. Drawn histories: 200 instead of 100, and eleven kinds of meetings counted; the calm after them lasts longer (1,200 s instead of 700), since some tasks now run for up to 120 s, and no job may wait for 90 s beside room.

--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -1,5 +1,6 @@
 /** Which machines to rent, replace and return. */
 import { mayUseMachine, teamRoom, zoneAllows } from './backfill.js';
+import { leaseSurelyOver } from './leases.js';
 import { isReplica, ordinaryNeed } from './services.js';
 import {
   type CoreState,
@@ -149,23 +150,6 @@
   }
 };
 
-/** Until when a worker that has not been answered since could still hold its tasks. */
-export const leaseSurelyOver = (state: CoreState, m: Machine): number => {
-  const { acquiredAt, keepAliveMs, leaseMs } = state.config;
-  // Until it has taken our term, a former leader may go on answering it for a bounded time.
-  const base = m.ready ? m.lastSeen : Math.max(m.lastSeen, acquiredAt + keepAliveMs);
-  return base + leaseMs * 1.002 + 1000;
-};
-
-/**
- * When a machine that has not reported to this leader can hold nothing from before: the safe time to start placing
- * where a ledger record could not be read.
- */
-export const everyLeaseOver = (state: CoreState): Instant => {
-  const { acquiredAt, keepAliveMs, leaseMs } = state.config;
-  return (acquiredAt + keepAliveMs + leaseMs * 1.002 + 1000) as Instant;
-};
-
 const noteSilence = (state: CoreState, now: Instant): void => {
   const { reportMs, leaseMs, policy } = state.config;
   const limit = policy.silentReports * reportMs;
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -16,8 +16,12 @@
 } from './state.js';
 import { type Effect, type Instant, type JobId, later, type Millis, seconds, type Ticket } from './types.js';
 
+/** Longer than a read, a watch or an unanswered write can be under way. */
+const OVER_KEPT_MS = 120_000;
+
+/** A watch, a read or the answer to a write may tell of a job after its end: taken up then, its tasks would start again. */
 export const addJob = (state: CoreState, spec: Job['spec'], submittedAt: Instant): void => {
-  if (state.jobs.has(spec.id)) return;
+  if (state.jobs.has(spec.id) || state.over.has(spec.id)) return;
   const job = newJob(spec, submittedAt, state.config);
   state.jobs.set(spec.id, job);
   state.placementDue = true;
@@ -29,7 +33,13 @@
   job.abortTickets = [];
 };
 
-export const abortJob = (state: CoreState, id: JobId, ticket: Ticket, effects: Effect[]): void => {
+export const abortJob = (
+  state: CoreState,
+  id: JobId,
+  ticket: Ticket,
+  now: Instant,
+  effects: Effect[],
+): void => {
   const job = state.jobs.get(id);
   if (!job) {
     effects.push({ kind: 'settled', ticket, outcome: null });
@@ -39,25 +49,33 @@
   if (job.final !== 'none') return;
   job.final = 'cancelled';
   state.dirtyFinals.add(job);
-  // Until the result is stored the tasks run on: should the write fail, the job is not cancelled.
+  // Nothing that its tasks do from now on is of use to anybody: they are killed at once. Another node may tell of the stored
+  // end before this one learns of it, and may never learn of it; should the write fail, the tasks run again.
+  killAll(job, now, effects);
 };
 
-const killAll = (job: Job): void => {
+/** Also without a valid lease: see `isOver` in orders. */
+const killAll = (job: Job, now: Instant, effects: Effect[]): void => {
   for (const placements of job.held.values()) {
-    for (const p of placements) p.kill = { graceS: 0, sentAt: null };
+    for (const p of placements) if (p.kill?.graceS !== 0) p.kill = { graceS: 0, sentAt: null };
   }
+  for (const m of machinesOf(job)) sendKills(m, effects, now);
 };
 
-export const finishSaved = (state: CoreState, job: Job, effects: Effect[]): void => {
+export const finishSaved = (state: CoreState, job: Job, now: Instant, effects: Effect[]): void => {
   state.jobs.delete(job.spec.id);
+  for (const [id, at] of state.over) {
+    if (now - at < OVER_KEPT_MS) break;
+    state.over.delete(id);
+  }
+  state.over.set(job.spec.id, now);
   for (const chunk of job.chunks.values()) leaveChunkSegment(state, chunk);
   if (state.head === job.spec.id) state.head = null;
   const outcome = job.final === 'cancelled' ? 'cancelled' : 'done';
   effects.push({ kind: 'final', job: job.spec.id, outcome, tasks: job.spec.tasks, team: job.spec.team });
   settle(job, effects);
-  killAll(job);
+  killAll(job, now, effects);
   for (const m of state.machines.values()) m.failedJobs.delete(job.spec.id);
-  if (outcome === 'cancelled') for (const m of machinesOf(job)) sendKills(m, effects);
   state.placementDue = true;
 };
 
--- /dev/null
+++ b/src/core/leases.ts
@@ -0,0 +1,40 @@
+/** How long a worker may hold its tasks after the last answer that a controller can have given it. */
+import type { CoreState, Machine } from './state.js';
+import type { Instant, Millis } from './types.js';
+
+/** Clocks drift apart by half of this at most. */
+const DRIFT = 0.001;
+const LEASE_MARGIN_MS = 1000;
+/** What is left of a cancellation's time when the last task that was kept alive ends. */
+const CANCEL_MARGIN_MS = 3000;
+const KEEP_ALIVE_MAX_MS = 60_000;
+
+/**
+ * For how long a leader may go on answering check-ins once its own lease has run out. A worker's lease counts from when the
+ * answered report was sent, which is before the answer was given, so that neither a report under way nor a long turn of the event loop
+ * adds to it: a worker that hears only this leader has lost its tasks this long and one lease after the leader's lease ran
+ * out. Whatever was cancelled without this leader's knowledge was cancelled under a later one, so after that. Where the
+ * settings leave no room, nothing is kept alive.
+ */
+export const keepAliveFor = (cancelMs: Millis, leaseMs: Millis): Millis => {
+  const room = (cancelMs - leaseMs * (1 + DRIFT)) / (1 + DRIFT) - CANCEL_MARGIN_MS;
+  return Math.max(0, Math.min(KEEP_ALIVE_MAX_MS, room)) as Millis;
+};
+
+const leaseOverAfter = ({ leaseMs }: CoreState['config']): number =>
+  leaseMs * (1 + 2 * DRIFT) + LEASE_MARGIN_MS;
+
+/** Until when a worker that has not been answered since could still hold its tasks. */
+export const leaseSurelyOver = ({ config }: CoreState, m: Machine): number => {
+  const { acquiredAt, keepAliveMs } = config;
+  // Until it has taken our term, a former leader may go on answering it for a bounded time.
+  const base = m.ready ? m.lastSeen : Math.max(m.lastSeen, acquiredAt + keepAliveMs);
+  return base + leaseOverAfter(config);
+};
+
+/**
+ * When a machine that has not reported to this leader can hold nothing from before: the safe time to start placing
+ * where a ledger record could not be read.
+ */
+export const everyLeaseOver = ({ config }: CoreState): Instant =>
+  (config.acquiredAt + config.keepAliveMs + leaseOverAfter(config)) as Instant;
--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -278,7 +278,7 @@
     const c = job.chunks.get(chunk);
     if (c) c.saved = Math.max(c.saved, version);
   }
-  for (const job of batch.finals) finishSaved(state, job, effects);
+  for (const job of batch.finals) finishSaved(state, job, now, effects);
 };
 
 /** What a row says of one part of a job; `at` is the part's first byte in the row, which may be before its start. */
--- a/src/core/orders.ts
+++ b/src/core/orders.ts
@@ -21,6 +21,27 @@
   return chunk !== undefined && chunk.saved >= p.needs.version;
 };
 
+/**
+ * An attempt of a job that is over, or that its user has asked to cancel. That stays true without a lease: whoever leads next
+ * knows the job as over too, or will be asked again. So its kill is the one order that needs no valid lease, and no
+ * worker is kept alive with such a task.
+ */
+export const isOver = (p: Placement): boolean =>
+  p.kill !== null && (p.job === null || p.job.final !== 'none');
+
+/** What a leader without a valid lease may still order. */
+const killsOfOver = (m: Machine, now: Instant): Order[] => {
+  const orders: Order[] = [];
+  for (const p of m.placements.values()) {
+    if (orders.length >= MAX_ORDERS) break;
+    if (p.phase === 'ended' || !isOver(p)) continue;
+    const { job, index, attempt } = p.entry;
+    orders.push({ op: 'kill', job, index, attempt, graceS: 0 });
+    if (p.kill) p.kill.sentAt = now;
+  }
+  return orders;
+};
+
 const ordersFor = (state: CoreState, m: Machine, now: Instant): Order[] => {
   const orders: Order[] = [];
   for (const p of m.placements.values()) {
@@ -43,15 +64,20 @@
 };
 
 /** Kills go straight to the worker, since its next check-in may be a while away. */
-export const sendKills = (m: Machine, effects: Effect[], now?: Instant): void => {
+export const sendKills = (
+  m: Machine,
+  effects: Effect[],
+  now: Instant,
+  which: (p: Placement) => boolean = () => true,
+): void => {
   if (!m.endpoint || m.session === 0) return;
   const orders: Order[] = [];
   for (const p of m.placements.values()) {
     if (!p.kill || p.phase === 'entering' || p.phase === 'ended' || orders.length >= MAX_ORDERS) continue;
-    if (now !== undefined && p.kill.sentAt !== null && now - p.kill.sentAt < KILL_RESEND_MS) continue;
+    if (!which(p) || (p.kill.sentAt !== null && now - p.kill.sentAt < KILL_RESEND_MS)) continue;
     const { job, index, attempt } = p.entry;
     orders.push({ op: 'kill', job, index, attempt, graceS: p.kill.graceS });
-    if (now !== undefined) p.kill.sentAt = now;
+    p.kill.sentAt = now;
   }
   if (orders.length === 0) return;
   effects.push({ kind: 'orders', machine: m.id, endpoint: m.endpoint, session: m.session, orders });
@@ -87,7 +113,7 @@
       continue;
     }
     m.answeredSession = m.session;
-    const orders = authority === 'lead' ? ordersFor(state, m, now) : [];
+    const orders = authority === 'lead' ? ordersFor(state, m, now) : killsOfOver(m, now);
     const attempts = orders.filter((o) => o.op === 'start').map((o) => o.attempt);
     if (attempts.length > 0) m.offered = { seq: m.seq, attempts };
     effects.push({ kind: 'answer', ticket, orders });
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -204,6 +204,8 @@
   loaded: boolean;
   placeFrom: Instant;
   readonly jobs: Map<JobId, Job>;
+  /** Jobs that ended of late, and when: what still tells of them as open is older than their end. */
+  readonly over: Map<JobId, Instant>;
   readonly machines: Map<MachineId, Machine>;
   /** Machines that a cloud delete has removed; what they still say is late and changes nothing. */
   readonly gone: Set<MachineId>;
@@ -246,6 +248,7 @@
   loaded: false,
   placeFrom: Number.POSITIVE_INFINITY as Instant,
   jobs: new Map(),
+  over: new Map(),
   machines: new Map(),
   gone: new Set(),
   types: new Map(),
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -1,10 +1,11 @@
 /** The core's one entry: commands in, effects out. No input or output, no clock, no randomness. */
 import { placeWaitingReplicas, type Round, runRound } from './backfill.js';
-import { deleted, everyLeaseOver, listed, manageFleet, rented, setTypes } from './fleet.js';
+import { deleted, listed, manageFleet, rented, setTypes } from './fleet.js';
 import { abortJob, addJob } from './jobs.js';
+import { everyLeaseOver } from './leases.js';
 import { nextBatch, onLedger, onProgress, onSaved } from './ledger.js';
 import { note } from './note.js';
-import { answerTickets, sendKills } from './orders.js';
+import { answerTickets, isOver, sendKills } from './orders.js';
 import { onReport } from './reports.js';
 import { type CoreState, settleSegment } from './state.js';
 import { type Authority, type Command, type Effect, type Instant, later, type Millis } from './types.js';
@@ -39,7 +40,7 @@
       }
       return;
     case 'abort':
-      return abortJob(state, command.job, command.ticket, effects);
+      return abortJob(state, command.job, command.ticket, now, effects);
     case 'report':
       return onReport(state, command.report, command.ticket, now, effects);
     case 'saved':
@@ -92,6 +93,10 @@
     }
     nextBatch(state, now, effects);
   }
+  if (authority === 'keep-alive' && now - state.lastTick >= TICK_MS) {
+    state.lastTick = now;
+    for (const m of state.machines.values()) sendKills(m, effects, now, isOver);
+  }
   answerTickets(state, now, authority, effects);
   return effects;
 };
--- a/src/service/controller.ts
+++ b/src/service/controller.ts
@@ -120,7 +120,6 @@
   private lead(term: Term, acquiredAt: Instant): void {
     this.leading = new Leadership(this.parts, term, acquiredAt, this.election, {
       over: (id, final) => this.users.remember(id, final),
-      isOver: (id) => this.users.isOver(id),
       isAlone: () => this.gossip.isAlone(),
     });
     this.leading.start();
--- a/src/service/leadership.ts
+++ b/src/service/leadership.ts
@@ -1,5 +1,6 @@
 /** One term of leadership: the takeover, what the leader watches, and what its decisions set in motion. */
 import { fromTimeOfDay, sleep, steadyNow } from '../adapters/clock.js';
+import { keepAliveFor } from '../core/leases.js';
 import { createCore } from '../core/state.js';
 import {
   type Authority,
@@ -51,7 +52,6 @@
 export interface LeadershipEvents {
   /** A job's end is stored. */
   over(id: JobId, final: FinalRecord): void;
-  isOver(id: JobId): boolean;
   /** Neither the state service nor any peer answers this node. */
   isAlone(): boolean;
 }
@@ -67,6 +67,7 @@
   /** When jobs came in, of late. */
   private arrivals: Instant[] = [];
   private current = true;
+  private readonly keepAliveMs: Millis;
 
   constructor(
     private readonly parts: Parts,
@@ -76,6 +77,7 @@
     private readonly events: LeadershipEvents,
   ) {
     const { workers, cloudLimits, stateLimits, teams, quota } = parts.settings;
+    this.keepAliveMs = keepAliveFor(seconds(workers.cancelS), seconds(workers.leaseS));
     const core = createCore({
       term,
       acquiredAt,
@@ -83,7 +85,7 @@
       policy: parts.policy,
       reportMs: seconds(workers.reportS),
       leaseMs: seconds(workers.leaseS),
-      keepAliveMs: this.keepAliveMs(),
+      keepAliveMs: this.keepAliveMs,
       listLagMs: seconds(cloudLimits.listLagS),
       txnOps: stateLimits.txnOps,
       writeRps: stateLimits.nextWriteRps,
@@ -114,16 +116,11 @@
     this.aborts.clear();
   }
 
-  private keepAliveMs(): Millis {
-    const { cancelS, leaseS } = this.parts.settings.workers;
-    return seconds(Math.min(60, Math.max(0, cancelS - leaseS - 3)));
-  }
-
   authority(): Authority {
     if (!this.current || this.election.term !== this.term) return 'none';
     const now = steadyNow();
     if (now < this.election.validUntil) return 'lead';
-    return now < this.election.validUntil + this.keepAliveMs() ? 'keep-alive' : 'none';
+    return now < this.election.validUntil + this.keepAliveMs ? 'keep-alive' : 'none';
   }
 
   // ---- takeover and watches ----------------------------------------------------------------------
@@ -175,16 +172,21 @@
       this.parts.log.error({ key }, 'unreadable record');
       return;
     }
-    this.persister.stamps.set(key, revision);
+    this.know(record, revision, out);
+  }
+
+  /** It may be older than the job's end, which the core knows. */
+  private know(record: JobRecord, revision: Revision, out: Command[]): void {
+    this.persister.stamps.set(jobKey(record.spec.id), revision);
     this.arrivals.push(steadyNow());
     out.push({ kind: 'job', spec: record.spec, submittedAt: fromTimeOfDay(record.at) });
   }
 
   /** A job that this very node has just stored. */
   admitted(record: JobRecord, revision: Revision): void {
-    this.persister.stamps.set(jobKey(record.spec.id), revision);
-    this.arrivals.push(steadyNow());
-    this.owner.submit({ kind: 'job', spec: record.spec, submittedAt: fromTimeOfDay(record.at) });
+    const commands: Command[] = [];
+    this.know(record, revision, commands);
+    for (const command of commands) this.owner.submit(command);
   }
 
   /** A job that the state service holds and this leader did not know yet. */
@@ -212,11 +214,7 @@
         revision = all.revision;
         for (const item of all.items) this.jobFrom(item.key, item.value, item.revision, commands);
       } else await sleep(this.parts.jitter.around(200));
-      for (const command of commands) {
-        // A change of before this leader finished the job says nothing new.
-        if (command.kind === 'job' && this.events.isOver(command.spec.id)) continue;
-        this.owner.submit(command);
-      }
+      for (const command of commands) this.owner.submit(command);
     }
   }
 
@@ -348,7 +346,7 @@
     // The process may have stood still since the orders were decided: right and time are looked at again as they go out.
     const now = this.authority();
     if (now === 'none') return null;
-    return now === 'lead' ? orders : [];
+    return now === 'lead' ? orders : orders.filter((order) => order.op === 'kill');
   }
 
   /**
--- a/src/service/users.ts
+++ b/src/service/users.ts
@@ -98,10 +98,6 @@
     }
   }
 
-  isOver(id: JobId): boolean {
-    return this.finals.has(id);
-  }
-
   // ---- submissions -------------------------------------------------------------------------------
 
   private fault(spec: JobSpec): { kind: 'impossible'; reason: string } | null {
--- a/test/model/simulated-world.ts
+++ b/test/model/simulated-world.ts
@@ -5,6 +5,7 @@
  */
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { keepAliveFor } from '../../src/core/leases.js';
 import type { CoreState } from '../../src/core/state.js';
 import { step } from '../../src/core/step.js';
 import type {
@@ -16,6 +17,7 @@
   JobSpec,
   ListedMachine,
   MachineId,
+  Millis,
   Order,
   Report,
   SaveOp,
@@ -31,8 +33,9 @@
 
 const REPORT_MS = 2000;
 const LEASE_MS = 16_000;
-const KEEP_MS = 10_000;
 const CANCEL_MS = 40_000;
+/** As long as ever the settings allow: whatever is kept alive for too long shows. */
+const KEEP_MS = keepAliveFor(CANCEL_MS as Millis, LEASE_MS as Millis);
 const TYPE = type('c8', { bootS: 5 });
 const TEAMS = [team('blue', 20), team('green', 12)];
 
@@ -67,6 +70,8 @@
   cutOffUntil = 0;
   /** While deaf, its reports arrive, but no answer and no command reaches it. */
   deafUntil = 0;
+  /** While mute, it reaches no controller, but direct commands reach it. */
+  muteUntil = 0;
   /** What it sends and what is sent to it is held back until then, and arrives all at once. */
   heldUntil = 0;
   lastAt = 0;
@@ -159,6 +164,26 @@
   changes = 0;
   /** Batches that took several transactions. */
   splits = 0;
+  /** Meetings of two troubles, by kind. */
+  readonly meetings = {
+    refusedThenDown: 0,
+    cancelledInGap: 0,
+    keptForNext: 0,
+    writtenLate: 0,
+    answeredLate: 0,
+    cancelledAtEnd: 0,
+    cancelledWithHang: 0,
+    mute: 0,
+    upAtOnce: 0,
+    longBlackouts: 0,
+    handedOverAndBack: 0,
+  };
+  /** Until then, some transactions are carried out late, or at once with their answer lost and found out late. */
+  private lateWritesUntil = 0;
+  /** Reports that are held back until the next leader begins. */
+  private kept: (() => void)[] = [];
+  /** Between the state service's refusal of a leader and its outage for all: when that began. */
+  private gapUntil = 0;
   /** When all controllers have this version, and when the limits fall; both versions take turns before. */
   private readonly upgradedAt: number;
   private readonly limitsFallAt: number;
@@ -229,6 +254,7 @@
       term: term as Term,
       acquiredAt: this.now as Instant,
       teams: new Map(TEAMS.map((t) => [t.name, t])),
+      keepAliveMs: KEEP_MS,
       ...(old ? LIMITS : NEXT),
     });
     const before = this.leaders.at(-1);
@@ -244,6 +270,8 @@
     };
     this.leaders.push(leader);
     this.takeovers += 1;
+    // Old reports reach the new leader just as it begins.
+    for (const give of this.kept.splice(0)) this.soon(this.int(0, 500), give);
     leader.queue.push({ kind: 'types', types: [TYPE] });
     for (const [, { spec, at }] of this.store.jobs) {
       if (old && spec.shape === 'service') continue;
@@ -314,16 +342,21 @@
         }
         return;
       }
-      case 'settled':
-        if (effect.outcome === 'cancelled') this.cancelTold.set(this.abortOf(effect.ticket), this.now);
+      case 'settled': {
+        const id = this.abortOf(effect.ticket);
+        if (effect.outcome !== null && this.store.finals.get(id) !== effect.outcome)
+          this.problems.push(`told before it was stored ${id}`);
         return;
+      }
       case 'rent':
         this.soon(this.delay(), () => {
           if (this.workers.size >= 7) {
             reply({ kind: 'rented', request: effect.request, result: 'refused', machines: [] });
             return;
           }
-          const w = this.addMachine(!effect.spot, this.int(1000, 9000));
+          const atOnce = this.chance(25);
+          if (atOnce) this.meetings.upAtOnce += 1;
+          const w = this.addMachine(!effect.spot, atOnce ? this.int(50, 2000) : this.int(1000, 9000));
           const known = !this.chance(10);
           const machines = known ? [w.id as MachineId] : [];
           reply({ kind: 'rented', request: effect.request, result: known ? 'ok' : 'unknown', machines });
@@ -352,7 +385,11 @@
           w.term = leader.term;
           this.execute(w, effect.orders);
           const told = this.reportOf(w);
-          this.soon(this.wire(w), () => leader.queue.push({ kind: 'report', report: told, ticket: null }));
+          // Held up for seconds: the command was carried out, and its answer comes late.
+          const heldUp = this.chance(3) ? this.int(2000, 12_000) : 0;
+          this.soon(heldUp + this.wire(w), () =>
+            leader.queue.push({ kind: 'report', report: told, ticket: null }),
+          );
         });
       }
     }
@@ -360,8 +397,15 @@
 
   /** In as many transactions as it takes, one after the other; any may be the last that is carried out. */
   private persist(leader: Leader, ops: readonly SaveOp[], stored: () => void): void {
-    if (ops.length === 0) return stored();
-    this.soon(this.stateDelay(), () => {
+    if (ops.length === 0) {
+      const late = this.now < this.lateWritesUntil && this.chance(20) ? this.int(2000, 12_000) : 0;
+      if (late > 0) this.meetings.answeredLate += 1;
+      this.soon(late, stored);
+      return;
+    }
+    const late = this.now < this.lateWritesUntil && this.chance(20) ? this.int(2000, 12_000) : 0;
+    if (late > 0) this.meetings.writtenLate += 1;
+    this.soon(late + this.stateDelay(), () => {
       // Every leader transaction is guarded by the leader key: a late one fails.
       if (leader.term !== this.store.term) return;
       // An old leader is refused what is too large, and tries for ever; until the next takes over nothing starts.
@@ -397,6 +441,12 @@
       if (before && before !== op.outcome) this.problems.push(`went_back ${op.job}`);
       this.store.finals.set(op.job, op.outcome);
       this.store.jobs.delete(op.job);
+      // From now on any node may tell it, also while the leader has not learnt that it is stored.
+      if (op.outcome === 'cancelled') {
+        this.cancelTold.set(op.job, this.now);
+        if (this.now < this.gapUntil) this.meetings.cancelledInGap += 1;
+        if (![...this.aborts.values()].includes(op.job)) this.problems.push(`cancelled by nobody ${op.job}`);
+      }
     }
   }
 
@@ -432,7 +482,9 @@
         }
         this.checkStart(w, o.job, o.index, o.attempt);
         const lasts = spec.shape === 'service' && this.chance(70);
-        const left = lasts ? Number.POSITIVE_INFINITY : this.int(500, 20_000);
+        // Some run for longer than a cancellation may take.
+        const runs = this.chance(6) ? this.int(20_000, 120_000) : this.int(500, 20_000);
+        const left = lasts ? Number.POSITIVE_INFINITY : runs;
         w.tasks.push({ job: o.job, index: o.index, attempt: o.attempt, state: 'running', cause: null, left });
       } else if (o.op === 'kill') {
         const t = w.tasks.find((x) => x.job === o.job && x.index === o.index && x.attempt === o.attempt);
@@ -519,7 +571,14 @@
       if (SPECS.get(t.job)!.shape === 'service') {
         this.services.ends += 1;
         if (this.chance(50)) t.cause = 'error';
-      } else if (t.cause === 'done') this.doneReally.add(`${t.job}/${t.index}`);
+      } else if (t.cause === 'done') {
+        this.doneReally.add(`${t.job}/${t.index}`);
+        // A cancellation meets the end of a task, of the last one too.
+        if (this.chance(2)) {
+          this.meetings.cancelledAtEnd += 1;
+          this.soon(this.int(0, 1500), () => this.cancel(t.job));
+        }
+      }
       changed = true;
     }
     if (changed) w.dueAt = Math.min(w.dueAt, Math.max(this.now, w.lastAt + 500));
@@ -565,7 +624,12 @@
       });
       to.queue.push({ kind: 'report', report: told, ticket: ticket as Ticket });
     };
+    if (this.now < w.muteUntil) return;
     this.soon(this.wire(w), () => deliver(first));
+    if (this.chance(1) && !cut) {
+      this.meetings.keptForNext += 1;
+      this.kept.push(() => deliver(this.leader()));
+    }
     // Copies that the network held back reach whoever leads by then, also of machines that are long gone, of earlier
     // sessions, and well over a lease late; a new leader may see a machine first by such a copy.
     if (this.chance(5) && !cut)
@@ -641,14 +705,14 @@
     };
   }
 
-  private cancel(): void {
+  private cancel(which?: string): void {
     const all = [...this.store.jobs.keys()];
     const standing = all.filter((id) => SPECS.get(id)!.shape === 'service');
     const ids = standing.length > 0 && this.chance(40) ? standing : all;
     const leader = this.leader();
-    if (!leader || ids.length === 0) return;
+    if (!leader || ids.length === 0 || this.authority(leader) !== 'lead') return;
     const ticket = this.nextTicket++;
-    const id = ids[this.int(0, ids.length - 1)]!;
+    const id = which ?? ids[this.int(0, ids.length - 1)]!;
     this.aborts.set(ticket, id);
     leader.queue.push({ kind: 'abort', job: id as JobId, ticket: ticket as Ticket });
   }
@@ -656,7 +720,7 @@
   private trouble(): void {
     const all = [...this.workers.values()];
     const w = all.length > 0 ? all[this.int(0, all.length - 1)]! : null;
-    switch (this.int(1, 13)) {
+    switch (this.int(1, 18)) {
       case 1:
       case 2: {
         // The leader loses its lease, by a crash or unnoticed; the next comes when it has surely run out.
@@ -725,7 +789,9 @@
         // Every controller ends, and all that was on its way to them is lost with them.
         this.blackouts += 1;
         this.leaders = [];
-        this.soon(this.int(3000, 9000), () => {
+        // Now and then for longer than the workers' leases.
+        if (this.chance(25)) this.meetings.longBlackouts += 1;
+        this.soon(this.chance(25) ? this.int(LEASE_MS, 2 * LEASE_MS) : this.int(3000, 9000), () => {
           if (!this.leader()) this.elect();
         });
         return;
@@ -738,6 +804,38 @@
           this.stateSlowUntil = this.now + this.int(5000, 30_000);
         }
         return;
+      case 13:
+        return this.refusedThenDown(all);
+      case 14:
+        this.lateWritesUntil = this.now + this.int(5000, 40_000);
+        return;
+      case 15:
+        if (!w) return;
+        this.meetings.mute += 1;
+        w.muteUntil = this.now + this.int(3000, 60_000);
+        return;
+      case 16: {
+        // Users call off what runs, and its machines hang at that moment.
+        const runs = all.filter((x) => x.tasks.some((t) => t.state !== 'ended'));
+        for (const x of runs.slice(0, this.int(1, 3))) {
+          this.meetings.cancelledWithHang += 1;
+          this.cancel(x.tasks.find((t) => t.state !== 'ended')!.job);
+          x.hungUntil = this.now + this.int(1000, 30_000);
+        }
+        return;
+      }
+      case 17: {
+        // Hand over and back, within a second or two; jobs are cancelled in between.
+        this.meetings.handedOverAndBack += 1;
+        for (let i = 0; i < 4; i += 1) {
+          this.soon(i * this.int(100, 700), () => {
+            this.cancel();
+            this.leaders = this.leaders.filter((l) => l !== this.leader());
+            this.elect();
+          });
+        }
+        return;
+      }
       default: {
         const leader = this.leader();
         if (!leader) return;
@@ -748,6 +846,35 @@
     }
   }
 
+  /**
+   * The state service refuses the leader alone; some workers go on reporting to it. The next leader confirms cancellations,
+   * and then the service is down for all, for longer than a cancellation may take.
+   */
+  private refusedThenDown(all: readonly Worker[]): void {
+    const old = this.leader();
+    if (!old || this.now < this.stateDownUntil) return;
+    this.meetings.refusedThenDown += 1;
+    old.alive = false;
+    const lapse = Math.max(0, old.validUntil - this.now);
+    for (const w of all) {
+      if (!this.chance(50)) continue;
+      w.cutOffWith = old;
+      w.cutOffUntil = old.validUntil + KEEP_MS;
+    }
+    const from = lapse + this.int(10, 600);
+    this.soon(from, () => {
+      if (!this.leader()) this.elect();
+    });
+    const down = from + this.int(100, 5000);
+    this.gapUntil = this.now + down;
+    for (let i = 0; i < 6; i += 1) {
+      this.soon(this.int(from, down), () => this.cancel());
+    }
+    this.soon(down, () => {
+      this.stateDownUntil = this.now + this.int(CANCEL_MS, 3 * CANCEL_MS);
+    });
+  }
+
   /** A good third of the machines at once. */
   private crowd(): void {
     const kinds = Object.keys(this.crowds) as (keyof SimulatedWorld['crowds'])[];
@@ -815,6 +942,35 @@
     });
   }
 
+  /** Jobs of which a task waits though a machine that fits has room for it and its team is under its limit. */
+  waitingBesideRoom(): string[] {
+    return [...this.store.jobs.keys()].filter((id) => {
+      const spec = SPECS.get(id)!;
+      const { cpusMax } = TEAMS.find((t) => t.name === spec.team)!;
+      if (this.mistakes.has(id) || spec.oneZone || spec.scatter) return false;
+      let team = 0;
+      let there = 0;
+      for (const w of this.workers.values()) {
+        for (const t of w.tasks) {
+          if (t.job === id && (t.state !== 'ended' || t.cause === 'done')) there += 1;
+          const other = SPECS.get(t.job)!;
+          if (t.state !== 'ended' && other.team === spec.team) team += other.cpus;
+        }
+      }
+      let done = 0;
+      for (let i = 0; i < spec.tasks; i += 1) if (this.doneReally.has(`${id}/${i}`)) done += 1;
+      if (there + done >= spec.tasks || team + spec.cpus > cpusMax) return false;
+      return [...this.workers.values()].some(
+        (w) =>
+          this.now >= w.upAt &&
+          w.noticeAt === null &&
+          (spec.spotOk || !w.spot) &&
+          (spec.zone === null || spec.zone === w.zone) &&
+          w.used() + spec.cpus <= TYPE.cpus,
+      );
+    });
+  }
+
   /** How many services there are. */
   standing(): number {
     return [...this.store.jobs.values()].filter(({ spec }) => spec.shape === 'service').length;
@@ -834,10 +990,12 @@
       w.sick = false;
       w.hungUntil = 0;
       w.deafUntil = 0;
+      w.muteUntil = 0;
       w.heldUntil = 0;
     }
     this.stateDownUntil = 0;
     this.stateSlowUntil = 0;
+    this.lateWritesUntil = 0;
     if (!this.leader()) this.elect();
   }
 }
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -13,8 +13,9 @@
     const services: Record<string, number> = {};
     let changes = 0;
     let splits = 0;
+    const meetings: Record<string, number> = {};
     const controllers = { freezes: 0, blackouts: 0, outages: 0, slowSpells: 0 };
-    const seeds = [...Array.from({ length: 100 }, (_, i) => i + 1), 1192, 1370, 1410, 1670, 1729];
+    const seeds = [...Array.from({ length: 200 }, (_, i) => i + 1), 1192, 1370, 1410, 1670, 1729];
     for (const seed of seeds) {
       const world = new SimulatedWorld(seed);
       world.play(150_000, false);
@@ -29,6 +30,7 @@
       splits += world.splits;
       for (const [kind, n] of Object.entries(world.services)) services[kind] = (services[kind] ?? 0) + n;
       for (const [kind, n] of Object.entries(world.crowds)) crowds[kind] = (crowds[kind] ?? 0) + n;
+      for (const [kind, n] of Object.entries(world.meetings)) meetings[kind] = (meetings[kind] ?? 0) + n;
       for (const kind of Object.keys(controllers) as (keyof typeof controllers)[])
         controllers[kind] += world[kind];
     }
@@ -46,18 +48,33 @@
     expect(services.moves).toBeGreaterThan(15);
     expect(services.cancelled).toBeGreaterThan(100);
     expect(Object.keys(crowds)).toHaveLength(5);
-    for (const [kind, n] of [...Object.entries(crowds), ...Object.entries(controllers)]) {
+    expect(Object.keys(meetings)).toHaveLength(11);
+    const counted = [crowds, controllers, meetings].flatMap((kinds) => Object.entries(kinds));
+    for (const [kind, n] of counted) {
       expect(n, kind).toBeGreaterThan(15);
     }
   });
 
   it('leave no job behind once the troubles are over', () => {
     let standing = 0;
+    let longest = 0;
     for (let seed = 101; seed <= 110; seed += 1) {
       const world = new SimulatedWorld(seed);
       world.play(60_000, false);
       world.heal();
-      world.play(700_000, true);
+      // None waits for 90 s beside room that it could have.
+      const since = new Map<string, number>();
+      for (let t = 0; t < 1_200_000; t += 5000) {
+        world.play(5000, true);
+        const waits = world.waitingBesideRoom();
+        for (const id of since.keys()) if (!waits.includes(id)) since.delete(id);
+        for (const id of waits) {
+          const from = since.get(id) ?? t;
+          since.set(id, from);
+          longest = Math.max(longest, t - from);
+          expect(t - from, `seed ${seed}: ${id} waits beside room at ${world.now}`).toBeLessThan(90_000);
+        }
+      }
       expect(world.problems, `seed ${seed}`).toEqual([]);
       expect(world.unfinished(), `seed ${seed}`).toEqual([]);
       // Replicas end by themselves now and then, and are soon back.
@@ -71,5 +88,6 @@
       standing += world.standing();
     }
     expect(standing).toBeGreaterThan(10);
+    expect(longest).toBeGreaterThan(0);
   });
 });
--- a/test/troubles.test.ts
+++ b/test/troubles.test.ts
@@ -254,7 +254,7 @@
     expect(s.checkIn('n-1', told)).toMatchObject([{ op: 'reap', index: starts[0]!.index }]);
   });
 
-  it('stops a cancelled job at once, even where its start is still under way, once the cancellation is stored', () => {
+  it('stops a cancelled job at once, even where its start is still under way, and says so only once that is stored', () => {
     const s = new Story();
     s.submit('job-1', { tasks: 2 });
     const starts = s.starts(s.up('n-1'));
