--- /dev/null
+++ b/test/close-looks.test.ts
@@ -0,0 +1,88 @@
+/**
+ * Users ask at all nodes, again and again within milliseconds, and repeat the submission, right after a job was accepted, ended or
+ * confirmed as cancelled: no node may then answer something older, whatever the state service and the controllers do meanwhile.
+ */
+import { afterEach, describe, expect, it } from 'vitest';
+import { cleanUp, cluster, type Node, until } from './stand-ins/cluster.js';
+import { Recorder } from './stand-ins/recorder.js';
+
+afterEach(cleanUp);
+
+const leaderOf = (nodes: readonly Node[]) => nodes.find((n) => n.controller.authority() === 'lead');
+
+/** A job's life under close looks: accepted, cancelled or not, ended, and long after. */
+const live = async (users: Recorder, id: string, cancel: boolean): Promise<void> => {
+  await users.untilTold((at) => users.submission(id, at));
+  const looks = users.look(id);
+  if (cancel) {
+    await users.untilTold((at) => users.cancellation(id, at));
+    await users.look(id);
+  }
+  await looks;
+  await until(async () => {
+    const told = await users.untilTold((at) => users.question(id, at));
+    return told === 'done' || told === 'withdrawn';
+  });
+  await users.look(id);
+  await users.untilTold((at) => users.cancellation(id, at));
+  await users.look(id);
+};
+
+const lives = (users: Recorder, from: number, count: number) =>
+  Promise.all(
+    Array.from({ length: count }, async (_, i) => {
+      await new Promise((resolve) => setTimeout(resolve, i * 15));
+      await live(users, `job-${from + i}`, i % 4 === 0);
+    }),
+  );
+
+describe('no user is told something older, at any node', () => {
+  it('while transactions lose their answers, or are carried out late and after newer ones', async () => {
+    const { nodes, state } = await cluster(3);
+    const users = new Recorder(() => nodes.map((n) => n.at));
+    state.loseEvery = 3;
+    await lives(users, 100, 12);
+    state.loseEvery = 0;
+    state.lateEvery = 4;
+    await lives(users, 200, 12);
+    expect(users.problems).toEqual([]);
+    expect(state.lost).toBeGreaterThan(5);
+    expect(state.late).toBeGreaterThan(5);
+    expect(users.said.done).toBeGreaterThan(100);
+    expect(users.said.withdrawn).toBeGreaterThan(50);
+    expect((users.said.queued ?? 0) + (users.said.running ?? 0)).toBeGreaterThan(50);
+  });
+
+  it('while leaders change, controllers come back cold, and one is refused by the state service alone', async () => {
+    const { nodes, fronts, start, cloud } = await cluster(3);
+    cloud.taskMs = 60;
+    const users = new Recorder(() => nodes.map((n) => n.at));
+    let changes = 0;
+    let over = false;
+    const troubles = (async () => {
+      while (!over) {
+        const leader = await until(() => leaderOf(nodes) ?? over);
+        if (over || leader === true) return;
+        const i = nodes.indexOf(leader);
+        if (changes % 2 === 0) {
+          leader.stop();
+          nodes[i] = start(i);
+        } else {
+          fronts[i]!.refuse = true;
+          await until(() => over || nodes.some((n, j) => j !== i && n.controller.authority() === 'lead'));
+          await new Promise((resolve) => setTimeout(resolve, 150));
+          fronts[i]!.refuse = false;
+        }
+        changes += 1;
+        await new Promise((resolve) => setTimeout(resolve, 300));
+      }
+    })();
+    await lives(users, 300, 24);
+    over = true;
+    await troubles;
+    expect(users.problems).toEqual([]);
+    expect(changes).toBeGreaterThan(1);
+    expect(users.said.done).toBeGreaterThan(100);
+    expect(users.said.withdrawn).toBeGreaterThan(50);
+  });
+});
--- a/test/stand-ins/state-service.ts
+++ b/test/stand-ins/state-service.ts
@@ -48,6 +48,15 @@
   swallow = 0;
   /** Drops the next transactions without carrying them out. */
   drop = 0;
+  /** Of every so many transactions one is carried out at once and its answer is lost; 0: none. */
+  loseEvery = 0;
+  /** Of every so many transactions one gets no answer and is carried out this much later, after newer ones; 0: none. */
+  lateEvery = 0;
+  lateMs = 400;
+  /** How many such transactions there were, and how many of the late ones were still carried out. */
+  lost = 0;
+  late = 0;
+  lateDone = 0;
   transactions = 0;
   /** Enforced at each transaction; may be lowered at any time. */
   limits = { valueBytes: 65_536, txnOps: 1000, writeRps: Number.POSITIVE_INFINITY };
@@ -187,7 +196,20 @@
         this.tooMany += 1;
         return sendJson(res, 429, { error: 'too many' });
       }
+      if (this.lateEvery > 0 && this.transactions % this.lateEvery === 0) {
+        this.late += 1;
+        setTimeout(() => {
+          if (this.multi(body as Multi).status === 200) this.lateDone += 1;
+        }, this.lateMs);
+        setTimeout(() => req.socket.destroy(), 20);
+        return;
+      }
       const result = this.multi(body as Multi);
+      if (this.loseEvery > 0 && this.transactions % this.loseEvery === 0) {
+        this.lost += 1;
+        req.socket.destroy();
+        return;
+      }
       if (this.swallow > 0) {
         this.swallow -= 1;
         req.socket.destroy();
