No job waits for 90 s beside room that it could have

Cause, found by going through what can hold a job back: a head that waits for a far shadow time kept its reserved room from all that last longer, for up to 180 s and, for jobs that had begun, for good; machines kept for services held arrays back for 120 s; and a machine that had failed a job once was shunned by it until another task of it succeeded, which never happens where it is the only one that suits.

Change: after the round one task of a job that has had nothing on a machine for 75 s goes into any room that is left; failures on one or two machines are forgotten after a minute.

--- a/src/core/backfill.ts
+++ b/src/core/backfill.ts
@@ -73,7 +73,7 @@
   if (spec.zone !== null && spec.zone !== machine.zone) return false;
   if (machine.spot && !spec.spotOk) return false;
   if (isService(job)) return true;
-  if (machine.kept && spec.spotOk) return false;
+  if (machine.kept && spec.spotOk && !job.pressing) return false;
   return !(job.failedOn.size < SUSPECT_MACHINES && job.failedOn.has(machine.id));
 };
 
@@ -414,11 +414,20 @@
   return total;
 };
 
+const FAILURES_FORGOTTEN_MS = 60_000;
+
+/** A machine that failed a job may be the only one that suits it, and be sound again: the job does not shun it for good. */
+const forgetFailures = (job: Job, now: Instant): void => {
+  if (isService(job) || job.failedOn.size >= SUSPECT_MACHINES) return;
+  if (now - job.failedAt > FAILURES_FORGOTTEN_MS) job.failedOn.clear();
+};
+
 /** Jobs that wait, ranked; those whose tasks fail everywhere are left out until their pause is over. */
 export const rankWaiting = (state: CoreState, now: Instant): Ranked<Job>[] => {
   const waiting: Job[] = [];
   for (const job of state.jobs.values()) {
     if (job.final !== 'none' || job.pending <= 0) continue;
+    forgetFailures(job, now);
     if (now < job.retryAt) {
       job.blockedBy = 'pausing after failures';
       continue;
@@ -514,6 +523,27 @@
   return { placed, ranked };
 };
 
+/**
+ * A job of which nothing has been on a machine for so long gets one task where there is room that the ranking leaves free, also if it
+ * is reserved for the head or kept for services: no job is to wait for 90 s beside room that it could have.
+ */
+const PRESSING_MS = 75_000;
+const placePressing = (
+  state: CoreState,
+  ranked: readonly Ranked<Job>[],
+  rooms: readonly Room[],
+  now: Instant,
+): Placement[] => {
+  const placed: Placement[] = [];
+  for (const { job } of ranked) {
+    if (job.held.size > 0 || now - job.idleSince < PRESSING_MS) continue;
+    job.pressing = true;
+    placed.push(...placeJob(state, job, rooms, now, 0, 1).placed);
+    job.pressing = false;
+  }
+  return placed;
+};
+
 export const runRound = (state: CoreState, now: Instant): Round => {
   const ranked = rankWaiting(state, now);
   const leaving = replicasToMove(state, now);
@@ -597,6 +627,7 @@
     if (plain && result.blockedBy === NO_MACHINE) hopeless.add(job.needs);
     if (result.placed.length > 0) open = stillOpen(open, least);
   }
+  for (const p of placePressing(state, ranked, stillOpen(rooms, least), now)) placed.push(p);
   // The head has started: the next round names a new one by score.
   if (head && head.job.pending <= 0) state.head = null;
   return { placed, ranked };
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -151,6 +151,7 @@
   effects: Effect[],
 ): void => {
   job.failures += 1;
+  job.failedAt = now;
   job.failedOn.add(m.id);
   m.failedJobs.add(job.spec.id);
   if (failsEverywhere(job)) {
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -102,6 +102,10 @@
 export interface Job {
   readonly spec: JobSpec;
   readonly submittedAt: Instant;
+  /** Since when nothing of it has been on a machine. */
+  idleSince: Instant;
+  /** It has waited so long that for one task of it nothing is reserved or kept. */
+  pressing: boolean;
   /** What its tasks ask of a machine: equal for jobs that suit the same machines. */
   readonly needs: string;
   /** Tasks of which one progress row tells. */
@@ -281,6 +285,8 @@
 export const newJob = (spec: JobSpec, submittedAt: Instant, config?: CoreConfig): Job => ({
   spec,
   submittedAt,
+  idleSince: submittedAt,
+  pressing: false,
   needs: JSON.stringify([
     spec.shape,
     spec.cpus,
@@ -439,6 +445,7 @@
     if (left.length > 0) job.held.set(entry.index, left);
     else {
       job.held.delete(entry.index);
+      if (job.held.size === 0) job.idleSince = now;
       if (!isDone(job, entry.index)) {
         job.pending += 1;
         job.returned.push(entry.index);
--- a/test/backfill.test.ts
+++ b/test/backfill.test.ts
@@ -27,6 +27,7 @@
 const drawnJob = fc.record({
   age: fc.integer({ min: 0, max: 600 }),
   shape: fc.constantFrom('array' as const, 'array' as const, 'array' as const, 'service' as const),
+  idle: fc.constantFrom(1000, 1000, 1000, 20, 65, 80),
   priority: fc.constantFrom(
     'critical' as const,
     'urgent' as const,
@@ -86,11 +87,20 @@
     head: drawn.head === null ? null : `job-${drawn.head}`,
   };
   state.head = world.head as never;
-  drawn.jobs.forEach(({ age, ...rest }, i) => {
+  drawn.jobs.forEach(({ age, idle, ...rest }, i) => {
     const submittedAt = NOW - age * 1000;
-    world.jobs.push({ id: `job-${i}`, submittedAt, level: PRIORITY_LEVEL[rest.priority], ...rest });
+    const idleSince = NOW - Math.min(age, idle) * 1000;
+    world.jobs.push({
+      id: `job-${i}`,
+      submittedAt,
+      idleSince,
+      level: PRIORITY_LEVEL[rest.priority],
+      ...rest,
+    });
     const spec = job(`job-${i}`, { ...rest, image: `img-${i}` });
-    state.jobs.set(spec.id, newJob(spec, submittedAt as Instant));
+    const waits = newJob(spec, submittedAt as Instant);
+    waits.idleSince = idleSince as Instant;
+    state.jobs.set(spec.id, waits);
   });
   drawn.machines.forEach((m, i) => {
     const t = TYPES.find((x) => x.name === m.type)!;
@@ -176,6 +186,7 @@
     const drawn: DrawnWorld = {
       jobs: Array.from({ length: jobs }, (_, i) => ({
         age: (i * 37) % 300,
+        idle: 1000,
         shape: services && i % 6 === 3 && i < 200 ? 'service' : 'array',
         priority: (['critical', 'best_effort', 'standard'] as const)[i % 3]!,
         team: i % 2 ? 'green' : 'blue',
--- a/test/model/plain-backfill.ts
+++ b/test/model/plain-backfill.ts
@@ -6,6 +6,8 @@
   id: string;
   shape: 'array' | 'service';
   submittedAt: number;
+  /** Since when it has had nothing on a machine. */
+  idleSince: number;
   /** 3 for critical down to 0 for best effort. */
   level: number;
   team: string;
@@ -178,8 +180,9 @@
   };
   keep();
 
+  let pressing: PlainJob | null = null;
   const suits = (j: PlainJob, m: PlainMachine) =>
-    (j.shape === 'service' || !j.spotOk || !kept.has(m)) &&
+    (j.shape === 'service' || !j.spotOk || !kept.has(m) || j === pressing) &&
     (j.types === null || j.types.includes(m.type)) &&
     (j.zone === null || j.zone === m.zone) &&
     (j.spotOk || !m.spot) &&
@@ -349,5 +352,13 @@
   }
   firstTasks(world.firstTaskS);
   for (const j of waiting) if (j !== head && !goesFirst(j)) fill(j);
+  // After 75 s without anything on a machine nothing is reserved or kept from a job's next task.
+  shadow = 0;
+  for (const j of waiting) {
+    if (left(j) < j.tasks || world.now - j.idleSince < 75_000) continue;
+    pressing = j;
+    fill(j, 1);
+    pressing = null;
+  }
   return { starts, head: head && left(head) > 0 ? head.id : null, stopped };
 };
