A service that must be spread over zones but may use only one gets 422; missing fields tested one by one

Half of such a service's replicas would never have run. Arrays like that are accepted, their tasks can go one after the other. Each needed field that is missing or null gets 400 with its name: held before, tested now.

--- a/src/core/view.ts
+++ b/src/core/view.ts
@@ -41,7 +41,7 @@
  */
 export const viewJob = (state: CoreState, id: JobId, now: Instant): CoreJobView | null => {
   const job = state.jobs.get(id);
-  if (!job || job.final !== 'none') return null;
+  if (job?.final !== 'none') return null;
   const running = runningTasks(job);
   const waiting = whyWaiting(state, job, now);
   return {
--- a/src/service/users.ts
+++ b/src/service/users.ts
@@ -4,7 +4,14 @@
 import type { Peer } from '../adapters/peer-link.js';
 import type { Guard, Write } from '../adapters/state-client.js';
 import type { JobView } from '../adapters/wire.js';
-import { isService, type JobId, type JobSpec, type Revision, type TeamName } from '../core/types.js';
+import {
+  isService,
+  type JobId,
+  type JobSpec,
+  type Revision,
+  type TeamName,
+  type ZoneName,
+} from '../core/types.js';
 import { explainJob, viewJob } from '../core/view.js';
 import type { Election } from './election.js';
 import type { Gossip } from './gossip.js';
@@ -108,15 +115,19 @@
     const replicas = isService({ spec }) ? spec.tasks : 1;
     if (spec.cpus * replicas > team.cpusMax || spec.gpus * replicas > team.gpusMax)
       return no("all replicas together exceed the team's limit");
-    const fits = (this.parts.types ?? []).some(
-      (t) =>
-        (!spec.types || spec.types.includes(t.name)) &&
-        (spec.zone === null || t.zones.includes(spec.zone)) &&
-        spec.cpus <= t.cpus &&
-        spec.gpus <= t.gpus &&
-        spec.memoryGb <= t.memoryGb,
-    );
-    return fits ? null : no('no allowed machine type fits a task');
+    const zones = new Set<ZoneName>();
+    for (const t of this.parts.types ?? []) {
+      const allowed = !spec.types || spec.types.includes(t.name);
+      const fits = spec.cpus <= t.cpus && spec.gpus <= t.gpus && spec.memoryGb <= t.memoryGb;
+      if (!allowed || !fits) continue;
+      for (const zone of t.zones) if (spec.zone === null || spec.zone === zone) zones.add(zone);
+    }
+    if (zones.size === 0) return no('no allowed machine type fits a task');
+    // An array's tasks can go one after the other; replicas run side by side, for good.
+    const spread = replicas > 1 && spec.scatter;
+    if (spread && (spec.oneZone || zones.size < 2))
+      return no('its replicas must be spread over zones, and only one is allowed');
+    return null;
   }
 
   /** `parsed` is the job, or what is wrong with the body; an accepted id is answered as known either way. */
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -92,7 +92,18 @@
       [body('job-1', { Hulls: ['c9'] }), 422],
       [body('job-1', { Yard: 'z' }), 422],
       [body('job-1', { Accelerators: 1 }), 422],
+      [body('job-1', { Hulls: [] }), 422],
     ];
+    // Whatever may not be null must be there, and is named.
+    const { Hulls: _h, Yard: _y, DueS: _d, Ref: _r, ...needed } = body('job-1');
+    for (const field of Object.keys(needed)) {
+      for (const value of [undefined, null]) {
+        const answer = await post(at, '/api/jobs', body('job-1', { [field]: value }));
+        expect(answer?.status, field).toBe(400);
+        expect(answer?.body, field).toMatchObject({ error: expect.stringContaining(field) });
+      }
+    }
+    expect(Object.keys(needed)).toHaveLength(16);
     for (const [text, expected] of bad) {
       expect((await post(at, '/api/jobs', text))?.status, JSON.stringify(text).slice(0, 200)).toBe(expected);
     }
--- a/test/standing.test.ts
+++ b/test/standing.test.ts
@@ -58,6 +58,27 @@
   });
 });
 
+describe('a service that must be spread over zones', () => {
+  it('is refused with 422 where only one is allowed, since half of it would never run; an array is not', async () => {
+    const { nodes } = await cluster(1);
+    const { at } = nodes[0]!;
+    const spread = { Scatter: true, Pieces: 2 };
+    for (const [id, change] of [
+      ['job-1', { Yard: 'a' }],
+      ['job-2', { OneZone: true }],
+    ] as const) {
+      const answer = await post(at, '/api/jobs', service(id, { ...spread, ...change }));
+      expect(answer?.status).toBe(422);
+      expect(answer?.body).toMatchObject({ error: expect.stringMatching(/spread/) });
+      expect((await post(at, '/api/jobs', body(`${id}1`, { ...spread, ...change })))?.status).toBe(201);
+      expect(
+        (await post(at, '/api/jobs', service(`${id}2`, { ...change, Scatter: true, Pieces: 1 })))?.status,
+      ).toBe(201);
+    }
+    expect((await post(at, '/api/jobs', service('job-3', spread)))?.status).toBe(201);
+  });
+});
+
 describe('limits of the state service that fall', () => {
   it('in mid-run, to what the settings said and then below, stop nothing', async () => {
     const next = { value_kb: 1, txn_ops: 3, write_rps: 200 };
