--- /dev/null
+++ b/test/meetings.test.ts
@@ -0,0 +1,198 @@
+/** Two troubles that meet, told as stories to the core; docs/meetings.md lists which test brings about which. */
+import { describe, expect, it } from 'vitest';
+import { step } from '../src/core/step.js';
+import type {
+  Effect,
+  Instant,
+  JobId,
+  MachineId,
+  RequestName,
+  SaveOp,
+  Term,
+  Ticket,
+} from '../src/core/types.js';
+import { viewJob } from '../src/core/view.js';
+import { core, job, report, task, type } from './model/build.js';
+import { ended, running, Story } from './model/story.js';
+
+const id = 'job-1' as JobId;
+const abort = { kind: 'abort', job: id, ticket: 77 as Ticket } as const;
+
+/** A story up to the last task of a job with two; what follows is stored only when told. */
+const atTheEnd = () => {
+  const s = new Story();
+  s.submit('job-1', { tasks: 2 });
+  const starts = s.starts(s.up('n-1'));
+  s.checkIn('n-1', [ended(starts[0]!, 'done'), running(starts[1]!)]);
+  s.pass(2000);
+  let seq = 100;
+  const send = (...commands: Parameters<typeof step>[1][number][]) =>
+    step(s.state, commands, s.now as Instant, 'lead');
+  const lastEnds = () => {
+    seq += 1;
+    const told = report('n-1', seq, 7, [ended(starts[1]!, 'done')]);
+    return { kind: 'report', report: told, ticket: seq as Ticket } as const;
+  };
+  return { s, send, lastEnds };
+};
+const saved = (effects: readonly Effect[]) => {
+  const save = effects.find((e) => e.kind === 'save');
+  if (save?.kind !== 'save') throw new Error('nothing is stored');
+  return { kind: 'saved', batch: save.batch } as const;
+};
+const outcomes = (effects: readonly Effect[]) =>
+  effects.flatMap((e) => (e.kind === 'settled' || e.kind === 'final' ? [e.outcome] : []));
+
+describe('a cancellation that meets the end of a job’s last task', () => {
+  it('a moment after it: the job is done, and that is what its user is told, once it is stored', () => {
+    const { s, send, lastEnds } = atTheEnd();
+    const decided = send(lastEnds());
+    expect(outcomes([...decided, ...send(abort)])).toEqual([]);
+    expect(viewJob(s.state, id, s.now as Instant)).toBeNull();
+    expect(outcomes(send(saved(decided)))).toEqual(['done', 'done']);
+    expect(outcomes(send({ ...abort, ticket: 78 as Ticket }))).toEqual([null]);
+  });
+
+  it('a moment before it: the job is cancelled, once and for all', () => {
+    const { s, send, lastEnds } = atTheEnd();
+    const decided = send(abort);
+    expect(outcomes([...decided, ...send(lastEnds())])).toEqual([]);
+    expect(viewJob(s.state, id, s.now as Instant)).toBeNull();
+    expect(outcomes(send(saved(decided)))).toEqual(['cancelled', 'cancelled']);
+    expect(s.state.jobs.size).toBe(0);
+  });
+
+  it('in one batch with it, and twice: one answer for all', () => {
+    const { s, send, lastEnds } = atTheEnd();
+    const decided = send(lastEnds(), abort, { ...abort, ticket: 78 as Ticket });
+    expect(new Set(outcomes(send(saved(decided))))).toEqual(new Set(['done']));
+    expect(s.state.jobs.size).toBe(0);
+  });
+});
+
+describe('a machine that is up within two seconds of its rental and gets work at once', () => {
+  it('while writes lag: nothing is sent before it is entered, and a leader that ends leaves no start unknown', () => {
+    const state = core({ acquiredAt: 0 as Instant });
+    let stored: SaveOp[] = [];
+    const run = (now: number, ...commands: Parameters<typeof step>[1][number][]) =>
+      step(state, commands, now as Instant, 'lead');
+    run(0, { kind: 'types', types: [type('c8')] }, { kind: 'loaded' });
+    run(10, { kind: 'listed', askedAt: 0 as Instant, machines: [] });
+    const asked = run(3000, { kind: 'job', spec: job('job-1', { tasks: 4 }), submittedAt: 3000 as Instant });
+    const more = [...asked, ...run(3600, { kind: 'tick' })];
+    const rent = more.find((e) => e.kind === 'rent');
+    if (rent?.kind !== 'rent') throw new Error('rents nothing');
+    const request = rent.request as RequestName;
+    run(3700, { kind: 'rented', request, result: 'ok', machines: ['n-1' as MachineId] });
+    const first = run(4500, {
+      kind: 'report',
+      report: report('n-1', 1, 0, []),
+      ticket: 1 as Ticket,
+    });
+    const save = first.find((e) => e.kind === 'save');
+    if (save?.kind !== 'save') throw new Error('enters nothing');
+    stored = [...save.ops];
+    // The write lags; the answer that the worker waits for does not hold the starts, in no state of the write.
+    const answers = [...first, ...run(5500, { kind: 'tick' })].filter((e) => e.kind === 'answer');
+    expect(answers).toMatchObject([{ ticket: 1, orders: [] }]);
+    // It was carried out all the same, and is learnt of late: the next answer brings the starts.
+    run(6000, { kind: 'saved', batch: save.batch });
+    const second = run(6100, { kind: 'report', report: report('n-1', 2, 7, []), ticket: 2 as Ticket });
+    const sent = second.flatMap((e) => (e.kind === 'answer' && e.orders ? e.orders : []));
+    expect(sent.map((o) => o.op)).toEqual(['start', 'start', 'start', 'start']);
+    // The leader ends. Its successor knows each of them before it hears the machine, and starts none again.
+    const next = core({ term: 8 as Term, acquiredAt: 6200 as Instant });
+    const commands: Parameters<typeof step>[1][number][] = [
+      { kind: 'types', types: [type('c8')] },
+      { kind: 'job', spec: job('job-1', { tasks: 4 }), submittedAt: 3000 as Instant },
+    ];
+    for (const op of stored) {
+      if (op.kind !== 'segment') continue;
+      for (const row of op.machines) commands.push({ kind: 'ledger', segment: op.key, ...row });
+    }
+    step(next, [...commands, { kind: 'loaded' }], 6200 as Instant, 'lead');
+    expect(next.jobs.get(id)?.held.size).toBe(4);
+    let starts = 0;
+    // A second machine has room for all of them; the first, which hears nothing, is not asked.
+    for (let i = 1; i < 12; i += 1) {
+      const told = report('n-2', i, i < 2 ? 7 : 8, []);
+      const effects = step(
+        next,
+        [{ kind: 'report', report: told, ticket: i as Ticket }, { kind: 'tick' }],
+        (6200 + i * 1000) as Instant,
+        'lead',
+      );
+      for (const e of effects) if (e.kind === 'answer') starts += (e.orders ?? []).length;
+    }
+    expect(starts).toBe(0);
+  });
+});
+
+describe('a job of three tasks that end far apart, across changes of leader', () => {
+  it('is done once, when the last has ended, and no task that has ended runs again', () => {
+    let ledger: SaveOp[] = [];
+    let finals = 0;
+    const attempts = new Map<number, number>();
+    const reaped = new Set<number>();
+    let now = 0;
+    for (let term = 7; term < 11; term += 1) {
+      const state = core({ term: term as Term, acquiredAt: now as Instant });
+      const keep = (effects: readonly Effect[]): Effect[] => {
+        const all = [...effects];
+        for (const e of effects) {
+          if (e.kind !== 'save') continue;
+          for (const op of e.ops) {
+            if (op.kind === 'segment') ledger.push(op);
+            else if (op.kind === 'segment-gone')
+              ledger = ledger.filter((x) => x.kind !== 'segment' || x.key !== op.key);
+            else finals += 1;
+          }
+          all.push(...keep(step(state, [{ kind: 'saved', batch: e.batch }], now as Instant, 'lead')));
+        }
+        return all;
+      };
+      const commands: Parameters<typeof step>[1][number][] = [
+        { kind: 'types', types: [type('c8')] },
+        { kind: 'job', spec: job('job-1', { tasks: 3 }), submittedAt: 0 as Instant },
+      ];
+      for (const op of ledger) {
+        if (op.kind !== 'segment') continue;
+        for (const row of op.progress) commands.push({ kind: 'progress', segment: op.key, ...row });
+      }
+      for (const op of ledger) {
+        if (op.kind !== 'segment') continue;
+        for (const row of op.machines) commands.push({ kind: 'ledger', segment: op.key, ...row });
+      }
+      keep(step(state, [...commands, { kind: 'loaded' }], now as Instant, 'lead'));
+      // In each term one more has ended; ended ones are shown until they are reaped.
+      const ends = term - 7;
+      for (let i = 0; i < 10; i += 1) {
+        now += 2000;
+        const tasks = [...attempts]
+          .filter(([index]) => !reaped.has(index))
+          .map(([index, attempt]) =>
+            task('job-1', index, attempt, index < ends ? 'ended' : 'running', index < ends ? 'done' : null),
+          );
+        const told = report('n-1', term * 100 + i, i < 1 ? term - 1 : term, tasks);
+        const effects = keep(
+          step(
+            state,
+            [{ kind: 'report', report: told, ticket: i as Ticket }, { kind: 'tick' }],
+            now as Instant,
+            'lead',
+          ),
+        );
+        for (const e of effects) {
+          if (e.kind !== 'answer') continue;
+          for (const o of e.orders ?? []) {
+            if (o.op === 'reap') reaped.add(o.index);
+            if (o.op !== 'start') continue;
+            expect(attempts.has(o.index), `task ${o.index} starts once`).toBe(false);
+            attempts.set(o.index, o.attempt);
+          }
+        }
+      }
+      expect(finals, `term ${term}`).toBe(term === 10 ? 1 : 0);
+    }
+  });
+});
