--- a/test/gap.test.ts
+++ b/test/gap.test.ts
@@ -3,7 +3,7 @@
  * go on reporting: whoever answers them without a valid lease must not keep a cancelled task alive.
  */
 import fc from 'fast-check';
-import { describe, expect, it } from 'vitest';
+import { afterEach, describe, expect, it } from 'vitest';
 import { keepAliveFor } from '../src/core/leases.js';
 import { segmentKey } from '../src/core/state.js';
 import { step } from '../src/core/step.js';
@@ -21,6 +21,10 @@
 } from '../src/core/types.js';
 import { core, entry, job, recordedAt, report, task, type } from './model/build.js';
 import { running, Story } from './model/story.js';
+import { post } from './stand-ins/cloud.js';
+import { body, cleanUp, cluster, status, until } from './stand-ins/cluster.js';
+
+afterEach(cleanUp);
 
 const abort: Command = { kind: 'abort', job: 'job-1' as JobId, ticket: 77 as Ticket };
 const killOf = (index: number, attempt: number) => ({ op: 'kill', job: 'job-1', index, attempt, graceS: 0 });
@@ -106,6 +110,40 @@
   });
 });
 
+describe('three controllers, of which the leader alone is refused before the state service is out', () => {
+  it('end the tasks of what the next leader has called cancelled, and keep the others alive', async () => {
+    const { nodes, state, fronts, cloud } = await cluster(3);
+    cloud.taskMs = 10_000_000;
+    const of = (id: string) =>
+      [...cloud.workers.values()].flatMap((w) => w.running()).filter((piece) => piece.startsWith(`${id}/`));
+    for (const id of ['job-1', 'job-2']) await post(nodes[0]!.at, '/api/jobs', body(id));
+    await until(() => of('job-1').length === 3 && of('job-2').length === 3);
+    const old = nodes.find((n) => n.controller.authority() === 'lead')!;
+    // The workers know only the old leader for now.
+    cloud.nodes = [old.at];
+    fronts[nodes.indexOf(old)]!.refuse = true;
+    const next = await until(() => nodes.find((n) => n !== old && n.controller.authority() === 'lead'));
+    await until(async () => {
+      const answer = await post(next.at, '/api/jobs/job-1/abort', {});
+      return (answer?.body as { Status?: string } | null)?.Status === 'withdrawn';
+    });
+    state.down = true;
+    await until(() => next.controller.authority() === 'keep-alive');
+    expect(of('job-1')).toHaveLength(3);
+    cloud.nodes = nodes.map((n) => n.at);
+    await until(() => of('job-1').length === 0);
+    expect(next.controller.authority()).toBe('keep-alive');
+    expect(of('job-2')).toHaveLength(3);
+    expect((await status(next.at, 'job-1'))?.body.Status).toBe('withdrawn');
+    // Nothing was started for it meanwhile, and afterwards the others go on where they are.
+    state.down = false;
+    for (const front of fronts) front.refuse = false;
+    await until(() => nodes.some((n) => n.controller.authority() === 'lead'));
+    await until(async () => (await status(nodes[0]!.at, 'job-2'))?.body.running === 3);
+    expect(cloud.starts).toHaveLength(6);
+  });
+});
+
 describe('a leader that is asked to cancel', () => {
   it('kills at once and starts no more of it, before the end is stored and any node can tell of it', () => {
     const s = new Story();
--- a/test/model/simulated-world.ts
+++ b/test/model/simulated-world.ts
@@ -641,7 +641,10 @@
     this.soon(this.wire(w), () => deliver(first));
     if (this.chance(1) && !cut) {
       this.meetings.keptForNext += 1;
-      this.kept.push(() => deliver(this.leader()));
+      // To every controller that takes reports, those that have been replaced too.
+      this.kept.push(() => {
+        for (const l of this.leaders) deliver(l);
+      });
     }
     // Copies that the network held back reach whoever leads by then, also of machines that are long gone, of earlier
     // sessions, and well over a lease late; a new leader may see a machine first by such a copy.
