Tests: replicas first in a batch; progress when due, or in a record that is written anyway

Seen to fail with the order turned round, with progress always due, and with it never added to a written record.

--- a/test/ledger.test.ts
+++ b/test/ledger.test.ts
@@ -44,6 +44,56 @@
     for (const r of records) expect(JSON.stringify(writeSegment(r)).length).toBeLessThanOrEqual(2048);
   });
 
+  it('enters replicas first where one batch cannot hold all that starts', () => {
+    // Four changes a batch, small values, and far more starts than fit.
+    const limits = { valueBytes: 700, txnOps: 4, writeRps: 4 };
+    const state = core({ ...limits, teams: new Map([['blue' as TeamName, team('blue', 800)]]) });
+    const run = (now: number, ...commands: Command[]) => step(state, commands, now as Instant, 'lead');
+    run(0, { kind: 'types', types: [type('c8')] }, { kind: 'loaded' });
+    for (let seq = 1; seq < 3; seq += 1) {
+      for (let i = 0; i < 60; i += 1) {
+        const told = report(`n-${i}`, seq, seq < 2 ? 6 : 7);
+        run(1000 * seq, { kind: 'report', report: told, ticket: (seq * 100 + i) as Ticket });
+      }
+    }
+    run(3000, { kind: 'tick' });
+    const array = { kind: 'job', spec: job('job-1', { tasks: 400 }), submittedAt: 3000 as Instant } as const;
+    const replicas = job('job-2', { shape: 'service', tasks: 6, estimateS: 0, priority: 'standard' });
+    const effects = run(3500, array, { kind: 'job', spec: replicas, submittedAt: 3500 as Instant });
+    const first = saves(effects).flatMap((op) =>
+      op.kind === 'segment' ? op.machines.flatMap((m) => m.entries.map((e) => e.job)) : [],
+    );
+    expect(state.toEnter.size).toBeGreaterThan(100);
+    expect(first.filter((id) => id === 'job-2')).toHaveLength(6);
+    expect(first.slice(0, 6)).toEqual(Array(6).fill('job-2'));
+  });
+
+  it('tells progress when it is due, and before that only in a record that is written anyway', () => {
+    const s = new Story();
+    s.submit('job-1', { tasks: 4 });
+    s.submit('job-2', { tasks: 4 });
+    const starts = s.starts(s.up('n-1'));
+    s.checkIn('n-1', starts.map(running));
+    const progress = () => saves(s.effects).flatMap((op) => (op.kind === 'segment' ? op.progress : []));
+    s.effects = [];
+    const told = starts.map((o, i) => (i === 0 ? ended(o, 'done') : running(o)));
+    const seen = report('n-1', 50, 7, told);
+    s.send({ kind: 'report', report: seen, ticket: 900 as Ticket });
+    s.now += 300;
+    s.send({ kind: 'tick' });
+    expect(progress()).toEqual([]);
+    s.pass(1000);
+    expect(progress()).toHaveLength(1);
+    // A start's record has room left: the next end goes with it at once.
+    s.effects = [];
+    const more = starts.map((o, i) => (i <= 1 ? ended(o, 'done') : running(o)));
+    s.send(
+      { kind: 'report', report: report('n-1', 51, 7, more), ticket: 901 as Ticket },
+      { kind: 'job', spec: job('job-3'), submittedAt: s.now as Instant },
+    );
+    expect(progress()).toHaveLength(1);
+  });
+
   it('is read back as it was written, and a record that was not is refused whole', () => {
     const given = {
       machines: [
