Check-ins: plain ones are read on the socket, unchanged tasks are not checked again

Change: a connection whose requests are plain check-ins is framed and answered on the socket; any other request is handed to the HTTP server with all bytes read, and the tasks of a report that say what its machine's last one said are taken from there. Both answer alike (test/check-ins.test.ts).

--- a/src/adapters/api.ts
+++ b/src/adapters/api.ts
@@ -1,22 +1,26 @@
 /** HTTP for users, workers and health checks, by hono on Node's own server. */
-import { createServer, type IncomingMessage, type Server } from 'node:http';
+import { type IncomingMessage, type RequestListener, Server } from 'node:http';
+import type { Socket } from 'node:net';
 import { getRequestListener, type HttpBindings } from '@hono/node-server';
-import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { type Context, Hono } from 'hono';
 import type { JobId, TeamName } from '../core/types.js';
 import type { Controller } from '../service/controller.js';
 import type { Lookup } from '../service/users.js';
+import { makeCheckIn } from './check-in.js';
+import {
+  acceptCheckIns,
+  type CheckInHandler,
+  type CheckInLimits,
+  RETRY_AFTER_S,
+} from './check-in-connections.js';
 import { steadyNow } from './clock.js';
-import { type Log, Once } from './log.js';
+import type { Log } from './log.js';
 import type { Settings } from './settings.js';
-import { jobAnswer, ordersOut, parseJob, parseJobId, parseReport } from './wire.js';
+import { jobAnswer, parseJob, parseJobId } from './wire.js';
 
 const MAX_BODY = 64 * 1024;
 /** Reports of a machine full of small tasks are longer than what users may send. */
 const MAX_REPORT = 4 * 1024 * 1024;
-const RETRY_AFTER_S = '1';
-/** Of all sockets; the rest is for the state service, the cloud, the peers and direct orders. */
-const API_SOCKETS = 0.85;
 /** Users' requests under way beyond which new work is turned away: memory is bounded by it. */
 export const MAX_IN_FLIGHT = 400;
 
@@ -52,45 +56,24 @@
   }
 };
 
-/**
- * Check-ins are most of what a leader answers, hundreds a second: their answers are written to Node's response as they
- * are, without a Response object in between.
- */
-const sendDirectly = (c: Context<Env>, status: number, body: unknown): Response => {
-  const text = JSON.stringify(body);
-  const { outgoing } = c.env;
-  // Its worker may have hung up meanwhile.
-  if (!outgoing.destroyed) {
-    const headers = { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) };
-    outgoing.writeHead(status, status === 503 ? { ...headers, 'retry-after': RETRY_AFTER_S } : headers);
-    outgoing.end(text);
-  }
-  return RESPONSE_ALREADY_SENT;
+/** A check-in that did not come as a plain request; see `CheckInConnection` for those that did. */
+const answerCheckIn = async (c: Context<Env>, checkIn: CheckInHandler): Promise<Response> => {
+  const text = await readText(c.env.incoming, MAX_REPORT);
+  // No longer a report once cut: what is left of it is no JSON either.
+  const { status, body } = await checkIn(text ?? '');
+  return c.json(body, status, status === 503 ? { 'Retry-After': RETRY_AFTER_S } : {});
 };
 
-export const makeApi = (controller: Controller, log: Log): Hono<Env> => {
+export const makeApi = (
+  controller: Controller,
+  log: Log,
+  checkIn: CheckInHandler = makeCheckIn(controller, log),
+): Hono<Env> => {
   const app = new Hono<Env>();
-  const malformed = new Once();
 
   app.get('/up', (c) => (controller.ready() ? c.json({ ok: true }) : later(c, 'starting')));
 
-  app.post('/checkin', async (c) => {
-    const body = await readBody(c, MAX_REPORT);
-    const report = 'json' in body ? parseReport(body.json) : null;
-    if (!report) {
-      const fault = 'fault' in body ? body.fault : 'fields';
-      const machine =
-        'json' in body ? String((body.json as { Berth?: unknown } | null)?.Berth).slice(0, 120) : '';
-      if (malformed.first(`${machine} ${fault}`)) log.info({ machine, fault }, 'check-in of an unknown form');
-      return sendDirectly(c, 400, { error: 'malformed' });
-    }
-    const answer = await controller.checkIn(report);
-    if (answer.kind === 'orders') {
-      return sendDirectly(c, 200, { Baton: answer.term, Orders: ordersOut(answer.orders) });
-    }
-    if (answer.kind === 'later') return sendDirectly(c, 503, { error: 'not now' });
-    return sendDirectly(c, 421, answer.leader === null ? {} : { Foreman: answer.leader });
-  });
+  app.post('/checkin', (c) => answerCheckIn(c, checkIn));
 
   app.post('/api/jobs', async (c) => {
     const body = await readBody(c, MAX_BODY);
@@ -165,14 +148,50 @@
   return app;
 };
 
+/** An HTTP server that leaves plain check-ins to a handler of their own. */
+class ApiServer extends Server {
+  private readonly checkIns = new Set<Socket>();
+
+  constructor(listener: RequestListener) {
+    super(listener);
+  }
+
+  /** Every connection is a worker's until it turns out not to be. */
+  readCheckInsFirst(handle: CheckInHandler, limits: CheckInLimits): void {
+    const [asHttp] = this.listeners('connection');
+    this.removeAllListeners('connection');
+    this.on('connection', (socket: Socket) => {
+      this.checkIns.add(socket);
+      socket.once('close', () => this.checkIns.delete(socket));
+      acceptCheckIns(socket, handle, limits, (unread) => {
+        this.checkIns.delete(socket);
+        asHttp?.call(this, socket);
+        socket.emit('data', unread);
+      });
+    });
+  }
+
+  override closeAllConnections(): void {
+    super.closeAllConnections();
+    for (const socket of this.checkIns) socket.destroy();
+  }
+}
+
+/** Of all sockets; the rest is for the state service, the cloud, the peers and direct orders. */
+const API_SOCKETS = 0.85;
+const REQUEST_MS = 20_000;
+const LEAST_IDLE_MS = 5000;
+
+/** Serves an application; with `checkIn`, plain check-ins pass it by. */
 export const serveApi = (
   settings: Settings,
   app: { readonly fetch: Parameters<typeof getRequestListener>[0] },
   log: Log,
+  checkIn: CheckInHandler | null = null,
 ): Server => {
   const listener = getRequestListener(app.fetch);
   let inFlight = 0;
-  const server = createServer((req, res) => {
+  const server = new ApiServer((req, res) => {
     // Workers' check-ins are as many as there are machines, and an idle one's waits for its answer: not counted.
     if (req.url === '/checkin') {
       void listener(req, res);
@@ -188,10 +207,14 @@
   });
   // A worker or user that has gone elsewhere, or whose machine is gone, may leave its connection open for good. What has
   // been silent for a lease is closed, so that a whole fleet that comes back by new connections finds room.
-  server.keepAliveTimeout = Math.max(5000, settings.workers.leaseS * 1000);
-  server.headersTimeout = 20_000;
-  server.requestTimeout = 20_000;
+  const idleMs = Math.max(LEAST_IDLE_MS, settings.workers.leaseS * 1000);
+  server.keepAliveTimeout = idleMs;
+  server.headersTimeout = REQUEST_MS;
+  server.requestTimeout = REQUEST_MS;
   server.maxConnections = Math.max(10, Math.floor(settings.quota.maxConnections * API_SOCKETS));
+  if (checkIn) {
+    server.readCheckInsFirst(checkIn, { maxBodyBytes: MAX_REPORT, idleMs, requestMs: REQUEST_MS });
+  }
   server.on('error', (error) => {
     log.error({ err: error }, 'cannot listen');
     process.exit(1);
@@ -199,3 +222,9 @@
   server.listen(settings.api.port, settings.api.host);
   return server;
 };
+
+/** The whole interface of one controller. */
+export const startApi = (settings: Settings, controller: Controller, log: Log): Server => {
+  const checkIn = makeCheckIn(controller, log);
+  return serveApi(settings, makeApi(controller, log, checkIn), log, checkIn);
+};
--- a/src/adapters/wire.ts
+++ b/src/adapters/wire.ts
@@ -1,8 +1,6 @@
 /** Between the platform's names on the wire and the names used inside. */
 import * as v from 'valibot';
 import type {
-  Attempt,
-  EndCause,
   ImageName,
   JobId,
   JobSpec,
@@ -10,23 +8,18 @@
   MachineId,
   MachineType,
   Order,
-  Report,
-  ReportedTask,
   Shape,
-  TaskIndex,
-  TaskPhase,
   TeamName,
-  Term,
   TypeName,
   ZoneName,
 } from '../core/types.js';
 
 const JOB_ID = /^job-\d{1,18}$/;
 const amount = v.pipe(v.number(), v.finite(), v.minValue(0), v.maxValue(1e12));
-const label = v.pipe(v.string(), v.minLength(1), v.maxLength(200));
+export const label = v.pipe(v.string(), v.minLength(1), v.maxLength(200));
 /** Names that become part of a key of the state service, which would refuse others for good. */
-const keyLabel = v.pipe(v.string(), v.regex(/^[\w.-]{1,120}$/));
-const count = v.pipe(v.number(), v.integer(), v.minValue(0), v.maxValue(Number.MAX_SAFE_INTEGER));
+export const keyLabel = v.pipe(v.string(), v.regex(/^[\w.-]{1,120}$/));
+export const count = v.pipe(v.number(), v.integer(), v.minValue(0), v.maxValue(Number.MAX_SAFE_INTEGER));
 
 export const parseJobId = (text: unknown): JobId | null =>
   typeof text === 'string' && JOB_ID.test(text) ? (text as JobId) : null;
@@ -115,76 +108,6 @@
 
 // ---- workers -------------------------------------------------------------------------------------
 
-const taskSchema = v.object({
-  Piece: v.pipe(v.string(), v.regex(/^job-\d{1,18}\/\d{1,9}$/)),
-  Try: count,
-  Status: v.string(),
-  Cause: v.nullish(v.string(), null),
-  Stored: v.nullish(v.boolean(), false),
-});
-
-const reportSchema = v.object({
-  Berth: keyLabel,
-  Endpoint: label,
-  Hull: label,
-  Yard: label,
-  Loaners: v.nullish(v.boolean(), false),
-  Tenure: count,
-  Tick: count,
-  Baton: count,
-  RecallS: v.nullish(v.pipe(v.number(), v.finite()), null),
-  Pieces: v.nullish(v.pipe(v.array(taskSchema), v.maxLength(20_000)), []),
-});
-
-const PHASES: Record<string, TaskPhase> = {
-  pulling: 'fetching',
-  gathering: 'fetching',
-  running: 'running',
-  saving: 'saving',
-  ended: 'ended',
-};
-const CAUSES: Record<string, EndCause> = {
-  done: 'done',
-  halted: 'stopped',
-  error: 'error',
-  no_room: 'no_room',
-  in_use: 'busy',
-  unknown: 'unknown',
-};
-
-export const parseReport = (body: unknown): Report | null => {
-  const result = v.safeParse(reportSchema, body);
-  if (!result.success) return null;
-  const b = result.output;
-  const tasks: ReportedTask[] = [];
-  for (const t of b.Pieces ?? []) {
-    const slash = t.Piece.indexOf('/');
-    // A state this version does not know is taken as running: it may hold the machine.
-    const phase = Object.hasOwn(PHASES, t.Status) ? PHASES[t.Status]! : 'running';
-    const cause = t.Cause !== null && Object.hasOwn(CAUSES, t.Cause) ? CAUSES[t.Cause]! : 'other';
-    tasks.push({
-      job: t.Piece.slice(0, slash) as JobId,
-      index: Number(t.Piece.slice(slash + 1)) as TaskIndex,
-      attempt: t.Try as Attempt,
-      phase,
-      cause: phase === 'ended' ? cause : null,
-      saved: t.Stored ?? false,
-    });
-  }
-  return {
-    machine: b.Berth as MachineId,
-    endpoint: b.Endpoint,
-    type: b.Hull as TypeName,
-    zone: b.Yard as ZoneName,
-    spot: b.Loaners ?? false,
-    session: b.Tenure,
-    seq: b.Tick,
-    term: b.Baton as Term,
-    noticeS: b.RecallS ?? null,
-    tasks,
-  };
-};
-
 export const ordersOut = (orders: readonly Order[]) =>
   orders.map((o) => ({
     Verb: o.op,
--- a/src/adapters/worker-client.ts
+++ b/src/adapters/worker-client.ts
@@ -2,8 +2,9 @@
 import { Agent } from 'node:http';
 import type { Order, Report, Term } from '../core/types.js';
 import { exchange } from './http-client.js';
+import { parseReport } from './report-reader.js';
 import { parseEndpoint } from './settings.js';
-import { ordersOut, parseReport } from './wire.js';
+import { ordersOut } from './wire.js';
 
 const REQUEST_MS = 3000;
 
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -1,4 +1,4 @@
-import { makeApi, serveApi } from '../adapters/api.js';
+import { startApi } from '../adapters/api.js';
 import { makeLog, Once } from '../adapters/log.js';
 import { servePeers } from '../adapters/peer-link.js';
 import { Jitter } from '../adapters/random.js';
@@ -14,7 +14,7 @@
   });
   const jitter = new Jitter((Date.now() ^ (process.pid << 8)) | 0);
   const controller = new Controller(settings, policy, log, jitter);
-  serveApi(settings, makeApi(controller, log), log);
+  startApi(settings, controller, log);
   const dropped = new Once();
   servePeers(
     settings.back,
--- /dev/null
+++ b/test/check-ins.test.ts
@@ -0,0 +1,287 @@
+/** Check-ins: how plain requests are framed, what is left to the HTTP server, and what an unchanged report costs. */
+import { connect, type Socket } from 'node:net';
+import { afterEach, describe, expect, it } from 'vitest';
+import { makeApi, serveApi } from '../src/adapters/api.js';
+import { makeCheckIn } from '../src/adapters/check-in.js';
+import type { CheckInReply } from '../src/adapters/check-in-connections.js';
+import { type Framing, frameCheckIn } from '../src/adapters/plain-request.js';
+import { parseReport, ReportReader } from '../src/adapters/report-reader.js';
+import { parseSettings } from '../src/adapters/settings.js';
+import type { Report } from '../src/core/types.js';
+import type { Controller } from '../src/service/controller.js';
+import { post } from './stand-ins/cloud.js';
+import { cleanUp, cleanups, freePort, log, until } from './stand-ins/cluster.js';
+import { settingsText } from './stand-ins/settings.js';
+
+afterEach(cleanUp);
+
+const MAX_BODY = 1000;
+
+const request = (body: string, headers: readonly string[] = [], line = 'POST /checkin HTTP/1.1'): string =>
+  `${[line, 'Host: 10.0.0.1', `Content-Length: ${body.length}`, ...headers].join('\r\n')}\r\n\r\n${body}`;
+
+const kindOf = (text: string): Framing['kind'] => frameCheckIn(Buffer.from(text), MAX_BODY).kind;
+
+describe('framing of a check-in', () => {
+  it('needs every byte of it, whatever the cuts', () => {
+    const whole = request('{"a":1}');
+    for (let n = 1; n < whole.length; n += 1) expect(kindOf(whole.slice(0, n))).toBe('incomplete');
+    const framing = frameCheckIn(Buffer.from(`${whole}POST`), MAX_BODY);
+    if (framing.kind !== 'request') throw new Error(framing.kind);
+    expect(whole.slice(framing.bodyStart, framing.bodyEnd)).toBe('{"a":1}');
+    expect(framing.close).toBe(false);
+  });
+
+  it('leaves to the HTTP server what is anything but plain', () => {
+    const others = [
+      request('{}', [], 'GET /checkin HTTP/1.1'),
+      request('{}', [], 'POST /checkin?x=1 HTTP/1.1'),
+      request('{}', [], 'POST /checkin HTTP/1.0'),
+      request('{}', [], 'POST /api/jobs HTTP/1.1'),
+      request('{}', ['Transfer-Encoding: chunked']),
+      request('{}', ['transfer-encoding : chunked']),
+      request('{}', ['Expect: 100-continue']),
+      request('{}', ['Upgrade: websocket']),
+      request('{}', ['Content-Length: 2']),
+      request('{}', ['Content-Length: 3']),
+      request('{}', ['Connection: close', 'Connection: keep-alive']),
+      request('{}', ['Connection: upgrade']),
+      request('x'.repeat(MAX_BODY + 1)),
+      `POST /checkin HTTP/1.1\r\nHost: a\r\n\r\n{}`,
+      `POST /checkin HTTP/1.1\r\nContent-Length: -1\r\n\r\n{}`,
+      `POST /checkin HTTP/1.1\r\nContent-Length: 2, 2\r\n\r\n{}`,
+      request('{}', [`X: ${'y'.repeat(9000)}`]),
+      'G',
+    ];
+    for (const text of others)
+      expect([text.slice(0, 80), kindOf(text)]).toEqual([text.slice(0, 80), 'unsupported']);
+  });
+
+  it('sees that the connection is to be closed', () => {
+    const framing = frameCheckIn(Buffer.from(request('{}', ['Connection: Close'])), MAX_BODY);
+    expect(framing).toMatchObject({ kind: 'request', close: true });
+  });
+});
+
+/** A connection that gathers what comes back. */
+const dial = async (port: number): Promise<{ socket: Socket; text: () => string; closed: () => boolean }> => {
+  let text = '';
+  let closed = false;
+  const socket = connect(port, '127.0.0.1');
+  cleanups.push(() => socket.destroy());
+  socket.on('data', (bytes) => {
+    text += bytes.toString();
+  });
+  socket.on('close', () => {
+    closed = true;
+  });
+  await new Promise<void>((resolve) => socket.once('connect', resolve));
+  return { socket, text: () => text, closed: () => closed };
+};
+
+const answersIn = (text: string): number => text.split('HTTP/1.1 ').length - 1;
+
+/** An API whose check-ins say back what they got, once `release` is called where `hold` is set. */
+const echoServer = async () => {
+  const port = await freePort();
+  const settings = parseSettings(settingsText({ api_addr: `127.0.0.1:${port}` }));
+  const bodies: string[] = [];
+  const waiting: (() => void)[] = [];
+  const control = { hold: false };
+  const checkIn = async (body: string): Promise<CheckInReply> => {
+    bodies.push(body);
+    if (control.hold) await new Promise<void>((resolve) => waiting.push(resolve));
+    return { status: 200, body: { got: body } };
+  };
+  const controller = { ready: () => true } as unknown as Controller;
+  const server = serveApi(settings, makeApi(controller, log, checkIn), log, checkIn);
+  cleanups.push(
+    () => server.close(),
+    () => server.closeAllConnections(),
+  );
+  await until(() => server.listening);
+  return { port, bodies, waiting, control, server };
+};
+
+describe('connections of workers', () => {
+  it('answer one request after the other, also cut into single bytes or sent at once', async () => {
+    const { port, bodies } = await echoServer();
+    const { socket, text } = await dial(port);
+    for (const byte of request('{"n":1}')) socket.write(byte);
+    await until(() => answersIn(text()) === 1);
+    socket.write(
+      request('{"n":2}') + request('{"n":"\u00e4"}').replace('Content-Length: 9', 'Content-Length: 10'),
+    );
+    await until(() => answersIn(text()) === 3);
+    expect(bodies).toEqual(['{"n":1}', '{"n":2}', '{"n":"\u00e4"}']);
+  });
+
+  it('hand over to the HTTP server whatever is no plain check-in, without losing a byte of it', async () => {
+    const { port, bodies } = await echoServer();
+    const { socket, text } = await dial(port);
+    socket.write(request('{"n":1}'));
+    await until(() => answersIn(text()) === 1);
+    // Chunked and cut in the middle of its head.
+    const chunked =
+      'POST /checkin HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n7\r\n{"n":2}\r\n0\r\n\r\n';
+    socket.write(chunked.slice(0, 40));
+    await new Promise((resolve) => setTimeout(resolve, 30));
+    socket.write(chunked.slice(40));
+    await until(() => answersIn(text()) === 2);
+    socket.write('GET /up HTTP/1.1\r\nHost: a\r\n\r\n');
+    await until(() => answersIn(text()) === 3);
+    socket.write(request('{"n":3}'));
+    await until(() => answersIn(text()) === 4);
+    expect(bodies).toEqual(['{"n":1}', '{"n":2}', '{"n":3}']);
+    expect(text()).toContain('{"ok":true}');
+  });
+
+  it('are closed when asked to be, and a worker that hangs up costs nothing', async () => {
+    const { port, control, waiting, bodies } = await echoServer();
+    const asked = await dial(port);
+    asked.socket.write(request('{}', ['Connection: close']));
+    await until(() => asked.closed());
+    expect(asked.text()).toContain('Connection: close');
+    control.hold = true;
+    const gone = await dial(port);
+    gone.socket.write(request('{}'));
+    await until(() => waiting.length === 1);
+    gone.socket.destroy();
+    await until(() => gone.closed());
+    waiting[0]!();
+    // Half closed, it still gets its answer.
+    const half = await dial(port);
+    half.socket.end(request('{"half":1}'));
+    await until(() => waiting.length === 2);
+    waiting[1]!();
+    await until(() => half.closed());
+    expect(answersIn(half.text())).toBe(1);
+    expect(bodies).toHaveLength(3);
+  });
+
+  it('are cut off when they send on and on while they wait', async () => {
+    const { port, control, waiting } = await echoServer();
+    control.hold = true;
+    const { socket, closed } = await dial(port);
+    socket.on('error', () => {});
+    socket.write(request('{}'));
+    await until(() => waiting.length === 1);
+    const part = 'x'.repeat(1024 * 1024);
+    for (let i = 0; i < 5; i += 1) socket.write(part);
+    await until(() => closed());
+  });
+
+  it('are answered as by the HTTP server: 400 for what is no report, 421, 503 with Retry-After', async () => {
+    const port = await freePort();
+    const settings = parseSettings(settingsText({ api_addr: `127.0.0.1:${port}` }));
+    let decision: unknown = { kind: 'later' };
+    const controller = { checkIn: async () => decision } as unknown as Controller;
+    const checkIn = makeCheckIn(controller, log);
+    const server = serveApi(settings, makeApi(controller, log, checkIn), log, checkIn);
+    cleanups.push(
+      () => server.close(),
+      () => server.closeAllConnections(),
+    );
+    const at = `127.0.0.1:${port}`;
+    const told = report(1, []);
+    const answers: unknown[] = [];
+    const ask = async (body: unknown, chunked: boolean) => {
+      const line = chunked ? '/checkin?' : '/checkin';
+      const reply = await post(at, line, body);
+      answers.push([reply?.status, reply?.body, reply?.headers['retry-after']]);
+    };
+    for (const other of [false, true]) {
+      decision = { kind: 'later' };
+      await ask(told, other);
+      decision = { kind: 'elsewhere', leader: 'node-1' };
+      await ask(told, other);
+      decision = { kind: 'elsewhere', leader: null };
+      await ask(told, other);
+      await ask('[1]', other);
+      decision = { kind: 'orders', term: 7, orders: [{ op: 'reap', job: 'job-1', index: 2, attempt: 3 }] };
+      await ask(told, other);
+    }
+    expect(answers.slice(0, 5)).toEqual([
+      [503, { error: 'not now' }, '1'],
+      [421, { Foreman: 'node-1' }, undefined],
+      [421, {}, undefined],
+      [400, { error: 'malformed' }, undefined],
+      [200, { Baton: 7, Orders: [{ Verb: 'reap', Piece: 'job-1/2', Try: 3 }] }, undefined],
+    ]);
+    expect(answers.slice(5)).toEqual(answers.slice(0, 5));
+  });
+});
+
+interface Entry {
+  Piece: string;
+  Try: number;
+  Status: string;
+  Cause?: string;
+  Stored?: boolean;
+}
+
+const report = (tick: number, Pieces: readonly Entry[]) => ({
+  Berth: 'n-000001',
+  Endpoint: '10.1.0.1:9000',
+  Hull: 'c8',
+  Yard: 'a',
+  Loaners: true,
+  Tenure: 1,
+  Tick: tick,
+  Baton: 7,
+  RecallS: null,
+  Pieces,
+});
+
+const running = (n: number): Entry => ({ Piece: `job-1/${n}`, Try: 100 + n, Status: 'running' });
+
+/** As it comes from the wire: nothing is shared between two reports. */
+const fresh = <T>(value: T): T => JSON.parse(JSON.stringify(value)) as T;
+
+describe('reports', () => {
+  it('are checked only where they differ from the last one', () => {
+    const reader = new ReportReader();
+    const tasks = Array.from({ length: 40 }, (_, n) => running(n));
+    reader.read(fresh(report(1, tasks)));
+    expect(reader.checked).toBe(40);
+    for (let tick = 2; tick < 12; tick += 1) reader.read(fresh(report(tick, tasks)));
+    expect(reader.checked).toBe(40);
+    // One ends, one is gone, one is new.
+    const changed = tasks.map((t, n) => (n === 5 ? { ...t, Status: 'ended', Cause: 'done' } : t));
+    changed.splice(20, 1);
+    changed.push(running(90));
+    reader.read(fresh(report(12, changed)));
+    expect(reader.checked).toBe(42);
+  });
+
+  it('say the same whether remembered or read alone, whatever changes, and malformed ones are refused alike', () => {
+    const reader = new ReportReader();
+    let seed = 7;
+    const draw = (n: number): number => {
+      seed = (seed * 1_103_515_245 + 12_345) % 2_147_483_648;
+      return Math.floor(seed / 65_536) % n;
+    };
+    let tasks: Entry[] = [];
+    let refused = 0;
+    for (let tick = 1; tick < 600; tick += 1) {
+      if (draw(2) === 0) tasks = [...tasks, running(tick)];
+      if (draw(3) === 0) tasks = tasks.filter((_, n) => n !== draw(tasks.length + 1));
+      if (draw(3) === 0) {
+        const at = draw(tasks.length + 1);
+        const status = (['pulling', 'running', 'saving', 'ended', 'odd'] as const)[draw(5)]!;
+        const cause = draw(2) === 0 ? {} : { Cause: 'done', Stored: draw(2) === 0 };
+        tasks = tasks.map((t, n) => (n === at ? { ...t, Status: status, ...cause } : t));
+      }
+      if (draw(9) === 0) tasks = [...tasks].reverse();
+      const bad = draw(12) === 0;
+      const body = report(tick, bad ? [...tasks, { ...running(1), Try: -1 }] : tasks);
+      const alone: Report | null = parseReport(fresh(body));
+      expect(reader.read(fresh(body))).toEqual(alone);
+      if (bad) {
+        expect(alone).toBeNull();
+        refused += 1;
+      }
+    }
+    expect(refused).toBeGreaterThan(20);
+  });
+});
--- a/test/stand-ins/cluster.ts
+++ b/test/stand-ins/cluster.ts
@@ -1,7 +1,7 @@
 /** Controllers in this process, against our own stand-ins on loopback. */
 import { type AddressInfo, createServer, type Server } from 'node:net';
 import pino from 'pino';
-import { makeApi, serveApi } from '../../src/adapters/api.js';
+import { startApi } from '../../src/adapters/api.js';
 import type { Log } from '../../src/adapters/log.js';
 import { servePeers } from '../../src/adapters/peer-link.js';
 import { Jitter } from '../../src/adapters/random.js';
@@ -89,7 +89,7 @@
       told,
       new Jitter(i + 1),
     );
-    const api = serveApi(settings, makeApi(controller, told), told);
+    const api = startApi(settings, controller, told);
     const peers: Server = servePeers(
       settings.back,
       (q) => controller.respond(q),
