Core: the round's parts in modules of their own, under the field's names

Renamed: Room -> FreeCapacity, hold -> addPlacement, teamRoom -> tasksWithinLimit, note -> logEvent, letsGo -> sendsElsewhere, noteHearing -> trackReachability, isAlone -> isIsolated, lookUp (after an ambiguous commit) -> readBack, Parts -> Dependencies, Story -> CoreDriver.

Test files renamed, their assertions unchanged: meetings -> compound-failures, close-looks -> monotonic-reads, gap -> refusal-then-outage, late-copies -> duplicated-reports, unheard-machines -> one-way-partitions; docs/meetings.md -> docs/compound-failures.md.

--- a/src/adapters/hono-listener.ts
+++ b/src/adapters/hono-listener.ts
@@ -46,8 +46,10 @@
  * Of a request, routing looks at the method and the address only. HEAD is routed as GET: Node leaves the body out by
  * itself, while Hono would make a `Response` for it.
  */
-const routable = ({ url, method }: IncomingMessage): Request =>
-  ({ url: `http://localhost${url ?? '/'}`, method: method === 'HEAD' ? 'GET' : method }) as Request;
+const routable = ({ url = '/', method }: IncomingMessage): Request => {
+  const absolute = url.startsWith('/') ? `http://localhost${url}` : url;
+  return { url: absolute, method: method === 'HEAD' ? 'GET' : method } as Request;
+};
 
 /** A handler that makes a `Response` of its own is served as well. */
 const send = async (response: Response, outgoing: ServerResponse): Promise<void> => {
--- /dev/null
+++ b/src/core/estimates.ts
@@ -0,0 +1,16 @@
+/** How long attempts should run, and when those that run should end. */
+import type { Job, Placement } from './state.js';
+import { type Instant, isService } from './types.js';
+
+/** How long a task of the job should run; a replica runs until its service is cancelled. */
+export const runMs = (job: Job): number =>
+  isService(job) ? Number.POSITIVE_INFINITY : job.spec.estimateS * 1000;
+
+/** When a running attempt should end by its estimate; an overrun counts as ending soon. */
+export const estimatedEnd = (p: Placement, now: Instant): number => {
+  const estimate = p.job ? runMs(p.job) : 0;
+  // A task that is being stopped ends once it has saved.
+  if (p.kill) return now + Math.min(p.kill.graceS, p.job?.spec.saveS ?? 0) * 1000 + 500;
+  const end = (p.startedAt ?? p.placedAt) + estimate;
+  return Math.max(end, now + Math.max(1000, estimate / 4));
+};
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -1,5 +1,5 @@
 /** Which machines to rent, replace and return. */
-import { mayUseMachine, teamRoom, zoneAllows } from './backfill.js';
+import { mayUseMachine, tasksWithinLimit, zoneAllows } from './capacity.js';
 import { leaseSurelyOver } from './leases.js';
 import { isReplica, ordinaryNeed } from './services.js';
 import {
@@ -367,7 +367,7 @@
   for (const job of jobs) {
     if (effects.length >= RENT_AT_ONCE || checked >= 50) break;
     checked += 1;
-    const limit = Math.min(job.pending, teamRoom(state, job));
+    const limit = Math.min(job.pending, tasksWithinLimit(state, job));
     // A service that fails where it is alone may run elsewhere; an array that pauses has failed on several machines.
     if (limit <= 0 || (now < job.retryAt && !isService(job))) continue;
     const plain = !job.spec.oneZone && !job.spec.scatter;
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -1,6 +1,6 @@
 /** Jobs: their arrival, their end, and what happens to their tasks. */
 import { quarantine } from './fleet.js';
-import { note } from './note.js';
+import { logEvent } from './log-event.js';
 import { sendKills } from './orders.js';
 import {
   type CoreState,
@@ -163,8 +163,8 @@
     const pause = Math.min(60, 2 ** Math.min(job.failures - SUSPECT_MACHINES + 1, 6));
     job.retryAt = later(now, seconds(Math.max(2, pause)));
     if (state.head === job.spec.id) state.head = null;
-    note(effects, 'info', 'job fails on every machine, pausing', { job: job.spec.id, pauseS: pause });
+    logEvent(effects, 'info', 'job fails on every machine, pausing', { job: job.spec.id, pauseS: pause });
   } else if (quarantine(state, m, now)) {
-    note(effects, 'info', 'machine fails tasks of several jobs, replacing it', { machine: m.id });
+    logEvent(effects, 'info', 'machine fails tasks of several jobs, replacing it', { machine: m.id });
   }
 };
--- a/src/core/note.ts
+++ b/src/core/log-event.ts
@@ -1,7 +1,7 @@
 /** What the core has to say to the log. */
 import type { Effect } from './types.js';
 
-export const note = (
+export const logEvent = (
   effects: Effect[],
   level: 'info' | 'debug',
   text: string,
--- /dev/null
+++ b/src/core/preemption.ts
@@ -0,0 +1,130 @@
+/** The two exceptions to running tasks to their end: for an urgent head, and for replicas of critical services. */
+import { type FreeCapacity, fitsIn, mayUseMachine, resourcesWithout, zoneAllows } from './capacity.js';
+import { type Job, occupies, type Placement } from './state.js';
+import { type Instant, isService, PRIORITY_LEVEL } from './types.js';
+
+/** Shorter runs are not cut: a start that is stopped so soon is of no use. */
+const LEAST_RUN_MS = 31_000;
+/** Tasks that may be stopped for a head of this level: of lower priority, and no more is lost than the saving takes. */
+const mayStop = (p: Placement, level: number, now: Instant): boolean =>
+  p.job !== null &&
+  p.kill === null &&
+  p.phase === 'running' &&
+  p.startedAt !== null &&
+  now - p.startedAt >= LEAST_RUN_MS &&
+  PRIORITY_LEVEL[p.job.spec.priority] < level &&
+  p.job.spec.checkpointS > 0;
+
+/**
+ * The one exception to running tasks to their end: small tasks take up every processor that comes free, so that on a
+ * full fleet an urgent head with larger ones waits for long. It stops tasks of lower priority that save their
+ * progress, as many as it takes, and its reservation keeps the room for it.
+ */
+export const preemptForHead = (
+  job: Job,
+  missing: number,
+  capacities: readonly FreeCapacity[],
+  now: Instant,
+): void => {
+  const level = PRIORITY_LEVEL[job.spec.priority];
+  const { cpus, gpus, memoryGb } = job.spec;
+  let left = missing;
+  const open: { capacity: FreeCapacity; victims: Placement[] }[] = [];
+  for (const capacity of capacities) {
+    if (!mayUseMachine(job, capacity.machine) || !zoneAllows(job, capacity.machine)) continue;
+    const victims: Placement[] = [];
+    let stopping = false;
+    for (const p of capacity.machine.placements.values()) {
+      if (p.kill && occupies(p.phase)) stopping = true;
+      else if (mayStop(p, level, now)) victims.push(p);
+    }
+    // Room that is already being made counts first.
+    if (stopping) {
+      const soon = resourcesWithout(
+        capacity,
+        [...capacity.machine.placements.values()].filter((p) => p.kill && occupies(p.phase)),
+      );
+      while (left > 0 && fitsIn(job, soon)) {
+        soon.cpus -= cpus;
+        soon.gpus -= gpus;
+        soon.memoryGb -= memoryGb;
+        left -= 1;
+      }
+    } else if (victims.length > 0) open.push({ capacity, victims });
+  }
+  for (const { capacity, victims } of open) {
+    if (left <= 0) return;
+    const soon = resourcesWithout(capacity, []);
+    let stopped: Placement[] = [];
+    for (const p of victims) {
+      if (left <= 0) break;
+      soon.cpus += p.entry.cpus;
+      soon.gpus += p.entry.gpus;
+      soon.memoryGb += p.entry.memoryGb;
+      stopped.push(p);
+      if (!fitsIn(job, soon)) continue;
+      // Only once a task of the head fits is anything stopped for it.
+      for (const victim of stopped) victim.kill = { graceS: (victim.job?.spec.saveS ?? 0) + 5, sentAt: null };
+      stopped = [];
+      while (left > 0 && fitsIn(job, soon)) {
+        soon.cpus -= cpus;
+        soon.gpus -= gpus;
+        soon.memoryGb -= memoryGb;
+        left -= 1;
+      }
+    }
+  }
+};
+
+/** Replicas that find no room stop what loses least, as little as it takes for one replica after the other. */
+export const preemptForReplicas = (
+  job: Job,
+  missing: number,
+  capacities: readonly FreeCapacity[],
+  now: Instant,
+): void => {
+  const level = PRIORITY_LEVEL[job.spec.priority];
+  let left = missing;
+  const options: { victims: Placement[]; loss: number }[] = [];
+  for (const capacity of capacities) {
+    if (!mayUseMachine(job, capacity.machine) || !zoneAllows(job, capacity.machine)) continue;
+    const all = [...capacity.machine.placements.values()].filter((p) => occupies(p.phase));
+    // Room that is already being made counts first.
+    const stopping = all.filter((p) => p.kill);
+    if (stopping.length > 0 && fitsIn(job, resourcesWithout(capacity, stopping))) {
+      left -= 1;
+      continue;
+    }
+    const lower = all
+      .filter((p) => p.job && !p.kill && !isService(p.job) && PRIORITY_LEVEL[p.job.spec.priority] < level)
+      .map((p) => ({ p, loss: lossMs(p, now) }))
+      .sort((a, b) => a.loss - b.loss);
+    const victims: Placement[] = [];
+    let loss = 0;
+    for (const { p, loss: one } of lower) {
+      victims.push(p);
+      loss += one;
+      if (!fitsIn(job, resourcesWithout(capacity, victims))) continue;
+      options.push({ victims, loss });
+      break;
+    }
+  }
+  options.sort((a, b) => a.loss - b.loss);
+  for (const { victims } of options) {
+    if (left <= 0) return;
+    left -= 1;
+    for (const p of victims) {
+      const saves = (p.job?.spec.checkpointS ?? 0) > 0;
+      p.kill = { graceS: saves ? (p.job?.spec.saveS ?? 0) + 5 : 0, sentAt: null };
+    }
+  }
+};
+
+/** The run time that is lost when an attempt is stopped. */
+const lossMs = (p: Placement, now: Instant): number => {
+  if (p.startedAt === null) return 0;
+  const ran = now - p.startedAt;
+  const save =
+    (p.job?.spec.checkpointS ?? 0) > 0 ? (p.job?.spec.saveS ?? 0) * 1000 : Number.POSITIVE_INFINITY;
+  return Math.min(ran, save);
+};
--- a/src/core/reports.ts
+++ b/src/core/reports.ts
@@ -1,10 +1,10 @@
 /** What workers report, and what it proves. */
 
 import { markDone, noteFailure, noteReplicaEnd } from './jobs.js';
-import { note } from './note.js';
+import { logEvent } from './log-event.js';
 import {
+  addPlacement,
   type CoreState,
-  hold,
   isDone,
   isQuiet,
   type Machine,
@@ -97,7 +97,7 @@
     segment,
   };
   segment?.placements.add(p);
-  hold(state, p);
+  addPlacement(state, p);
   return p;
 };
 
@@ -134,7 +134,7 @@
       p.startedAt = now;
       if (job && isService(job)) {
         const fields = { job: job.spec.id, task: p.entry.index, machine: machine.id };
-        note(effects, 'debug', 'replica runs', { ...fields, afterMs: Math.round(now - p.placedAt) });
+        logEvent(effects, 'debug', 'replica runs', { ...fields, afterMs: Math.round(now - p.placedAt) });
       }
     }
     p.phase = task.phase;
@@ -150,7 +150,7 @@
   else if (task.cause === 'unknown' && job) job.retryAt = later(now, seconds(2));
   if (task.cause === 'done') machine.failedJobs.clear();
   if (task.cause !== 'done' && job) {
-    note(effects, 'debug', 'attempt ended', {
+    logEvent(effects, 'debug', 'attempt ended', {
       job: job.spec.id,
       task: p.entry.index,
       machine: machine.id,
@@ -165,7 +165,13 @@
  * Guards against a machine whose reports arrive while our answers do not reach it. Its next report tells: a start in
  * an answer that was heard shows up in it, in whatever state; and no session ends while answers arrive.
  */
-const noteHearing = (state: CoreState, m: Machine, report: Report, now: Instant, effects: Effect[]): void => {
+const trackReachability = (
+  state: CoreState,
+  m: Machine,
+  report: Report,
+  now: Instant,
+  effects: Effect[],
+): void => {
   const { offered } = m;
   m.offered = null;
   const before = m.unheard;
@@ -187,7 +193,7 @@
     return;
   }
   m.deaf = true;
-  note(effects, 'info', 'machine does not hear our answers, replacing it', { machine: m.id });
+  logEvent(effects, 'info', 'machine does not hear our answers, replacing it', { machine: m.id });
 };
 
 export const onReport = (
@@ -209,13 +215,13 @@
     return refuse();
   }
   const m = ensureMachine(state, report.machine, report, now);
-  if (ticket !== null) noteHearing(state, m, report, now, effects);
+  if (ticket !== null) trackReachability(state, m, report, now, effects);
   if (m.ticket) effects.push({ kind: 'answer', ticket: m.ticket.ticket, orders: null });
   m.ticket = ticket === null ? null : { ticket, since: now };
   if (m.ticket) state.waiting.add(m);
   else state.waiting.delete(m);
   const first = !m.everSeen;
-  if (first) note(effects, 'debug', 'machine is up', { machine: m.id, type: m.type, zone: m.zone });
+  if (first) logEvent(effects, 'debug', 'machine is up', { machine: m.id, type: m.type, zone: m.zone });
   m.session = report.session;
   m.seq = report.seq;
   m.everSeen = true;
--- /dev/null
+++ b/src/core/reservation.ts
@@ -0,0 +1,48 @@
+/** The head's reservation: what it misses is set aside up to the shadow time. */
+import { type FreeCapacity, fitsShadow, mayUseMachine, takeShadow, zoneAllows } from './capacity.js';
+import { estimatedEnd } from './estimates.js';
+import { type Job, occupies, type Placement } from './state.js';
+import type { Instant } from './types.js';
+
+/** Lets the running attempts end in the order of their estimates until the head's missing tasks fit. */
+export const reserveForHead = (
+  job: Job,
+  missing: number,
+  capacities: readonly FreeCapacity[],
+  now: Instant,
+): number => {
+  const allowed = new Set(
+    capacities.filter((r) => mayUseMachine(job, r.machine) && zoneAllows(job, r.machine)),
+  );
+  // By the second, so that only those seconds are put in order that matter.
+  const seconds = new Map<number, { at: number; capacity: FreeCapacity; p: Placement }[]>();
+  for (const capacity of capacities) {
+    for (const p of capacity.machine.placements.values()) {
+      if (!occupies(p.phase)) continue;
+      const at = estimatedEnd(p, now);
+      if (at === Number.POSITIVE_INFINITY) continue;
+      const second = Math.floor(at / 1000);
+      const ends = seconds.get(second);
+      if (ends) ends.push({ at, capacity, p });
+      else seconds.set(second, [{ at, capacity, p }]);
+    }
+  }
+  let left = missing;
+  let shadow = 0;
+  for (const second of [...seconds.keys()].sort((a, b) => a - b)) {
+    const ends = seconds.get(second)!.sort((a, b) => a.at - b.at || a.p.entry.attempt - b.p.entry.attempt);
+    for (const end of ends) {
+      if (left <= 0) return shadow;
+      end.capacity.shadowCpus += end.p.entry.cpus;
+      end.capacity.shadowGpus += end.p.entry.gpus;
+      end.capacity.shadowMemoryGb += end.p.entry.memoryGb;
+      if (!allowed.has(end.capacity)) continue;
+      while (left > 0 && fitsShadow(job, end.capacity)) {
+        takeShadow(job, end.capacity);
+        left -= 1;
+        shadow = end.at;
+      }
+    }
+  }
+  return shadow;
+};
--- a/src/core/services.ts
+++ b/src/core/services.ts
@@ -92,7 +92,7 @@
 };
 
 /** What a round knows of a machine with room, as far as services ask. */
-export interface ServiceRoom {
+export interface ServiceCapacity {
   readonly machine: Machine;
   readonly type: { readonly fetchGbPerS: number; readonly cpus: number };
 }
@@ -101,7 +101,12 @@
  * How long until a replica would run there: its start goes out with the answer to a check-in, then the image is fetched. What a
  * machine fetches at the same time shares its rate.
  */
-const startsInMs = (state: CoreState, job: Job, { machine: m, type }: ServiceRoom, now: Instant): number => {
+const startsInMs = (
+  state: CoreState,
+  job: Job,
+  { machine: m, type }: ServiceCapacity,
+  now: Instant,
+): number => {
   const checkIn = m.ticket ? 0 : Math.max(0, m.lastSeen + state.config.reportMs - now);
   const there = new Set<ImageName>();
   const fetching = new Map<ImageName, number>();
@@ -130,21 +135,21 @@
  * The rooms for a service's replicas: where they run soonest, and of those one machine after the other, so that the loss of one
  * takes as few as can be; machines on which one ended of late come last.
  */
-export function* roomsForReplicas<T extends ServiceRoom>(
+export function* capacitiesForReplicas<T extends ServiceCapacity>(
   state: CoreState,
   job: Job,
-  rooms: readonly T[],
+  capacities: readonly T[],
   now: Instant,
 ): Generator<T> {
   const there = new Map<Machine, number>();
   for (const held of job.held.values()) {
     for (const p of held) there.set(p.machine, (there.get(p.machine) ?? 0) + 1);
   }
-  const tiers = new Map<number, { room: T; startsIn: number; there: number }[]>();
-  for (const room of rooms) {
-    const startsIn = startsInMs(state, job, room, now);
-    const tier = job.failedOn.has(room.machine.id) ? FAILED : Math.floor(startsIn / AS_SOON_MS);
-    const item = { room, startsIn: Math.floor(startsIn / 1000), there: there.get(room.machine) ?? 0 };
+  const tiers = new Map<number, { capacity: T; startsIn: number; there: number }[]>();
+  for (const capacity of capacities) {
+    const startsIn = startsInMs(state, job, capacity, now);
+    const tier = job.failedOn.has(capacity.machine.id) ? FAILED : Math.floor(startsIn / AS_SOON_MS);
+    const item = { capacity, startsIn: Math.floor(startsIn / 1000), there: there.get(capacity.machine) ?? 0 };
     const list = tiers.get(tier);
     if (list) list.push(item);
     else tiers.set(tier, [item]);
@@ -161,12 +166,12 @@
 }
 
 /** One room after the other, until each has this many. */
-function* inTurn<T>(tier: readonly { readonly room: T; there: number }[], limit: number): Generator<T> {
+function* inTurn<T>(tier: readonly { readonly capacity: T; there: number }[], limit: number): Generator<T> {
   for (let most = 1; most <= limit; most += 1) {
     for (const item of tier) {
       if (item.there >= most) continue;
       item.there += 1;
-      yield item.room;
+      yield item.capacity;
     }
   }
 }
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -408,7 +408,7 @@
 };
 
 /** Counts an attempt on its machine, against its team and in its job. */
-export const hold = (state: CoreState, p: Placement): void => {
+export const addPlacement = (state: CoreState, p: Placement): void => {
   const { entry, machine, job } = p;
   machine.placements.set(entry.attempt, p);
   machine.occupied += 1;
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -4,7 +4,7 @@
 import { abortJob, addJob } from './jobs.js';
 import { everyLeaseOver } from './leases.js';
 import { nextBatch, onLedger, onProgress, onSaved } from './ledger.js';
-import { note } from './note.js';
+import { logEvent } from './log-event.js';
 import { answerTickets, ofEndedJob, sendKills } from './orders.js';
 import { onReport } from './reports.js';
 import { type CoreState, settleSegment } from './state.js';
@@ -58,9 +58,9 @@
   }
 };
 
-const notePlaced = (state: CoreState, { placed }: Round, effects: Effect[]): void => {
+const logPlaced = (state: CoreState, { placed }: Round, effects: Effect[]): void => {
   if (placed.length === 0) return;
-  note(effects, 'debug', 'placed', {
+  logEvent(effects, 'debug', 'placed', {
     head: state.head,
     tasks: placed.map((p) => `${p.entry.job}/${p.entry.index}@${p.machine.id}`),
   });
@@ -87,9 +87,9 @@
       // Whatever an unreadable record spoke of has ended by now, or its machine has reported it.
       for (const key of state.unreadable) state.deadSegments.add(key);
       state.unreadable.clear();
-      notePlaced(state, runRound(state, now), effects);
+      logPlaced(state, runRound(state, now), effects);
     } else if (now < state.placeFrom && state.unreadable.size === 0) {
-      notePlaced(state, placeWaitingReplicas(state, now), effects);
+      logPlaced(state, placeWaitingReplicas(state, now), effects);
     }
     nextBatch(state, now, effects);
   }
--- a/src/core/view.ts
+++ b/src/core/view.ts
@@ -1,5 +1,6 @@
 /** What users and teams are told of a job: its state, and why it waits. */
-import { rankWaiting, teamRoom } from './backfill.js';
+import { rankWaiting } from './backfill.js';
+import { tasksWithinLimit } from './capacity.js';
 import { type CoreState, failsEverywhere, type Job } from './state.js';
 import type { Instant, JobId, Outcome, Shape, TeamName } from './types.js';
 
@@ -27,7 +28,7 @@
   if (job.pending <= 0) return '';
   if (!state.loaded || now < state.placeFrom) return 'a new leader waits for the workers to report';
   if (now < job.retryAt) return 'pausing after failed tasks';
-  if (teamRoom(state, job) < 1) return 'team limit';
+  if (tasksWithinLimit(state, job) < 1) return 'team limit';
   let booting = 0;
   for (const m of state.machines.values()) if (!m.everSeen) booting += 1;
   const reason = job.blockedBy || 'next round';
@@ -79,7 +80,7 @@
     scores: at < 0 ? null : ranked[at]!.scores,
     head: state.head,
     headShadowInS: state.shadowAt === null ? null : Math.max(0, (state.shadowAt - now) / 1000),
-    teamLimitLeavesTasks: Math.min(teamRoom(state, job), job.spec.tasks),
+    teamLimitLeavesTasks: Math.min(tasksWithinLimit(state, job), job.spec.tasks),
     failsEverywhere: failsEverywhere(job),
     machinesBooting: booting,
   };
--- a/src/service/controller.ts
+++ b/src/service/controller.ts
@@ -20,10 +20,10 @@
   TeamName,
   Term,
 } from '../core/types.js';
+import type { Dependencies } from './dependencies.js';
 import { Election } from './election.js';
 import { Gossip } from './gossip.js';
 import { BATCH_WRITES, Leadership } from './leadership.js';
-import type { Parts } from './parts.js';
 import { readJob, readTypes, TYPES_KEY } from './records.js';
 import { Users } from './users.js';
 
@@ -41,7 +41,7 @@
   readonly election: Election;
   readonly users: Users;
   private readonly gossip: Gossip;
-  private readonly parts: Parts;
+  private readonly parts: Dependencies;
   private leading: Leadership | null = null;
   private stopped = false;
 
@@ -120,7 +120,7 @@
   private lead(term: Term, acquiredAt: Instant): void {
     this.leading = new Leadership(this.parts, term, acquiredAt, this.election, {
       over: (id, final) => this.users.remember(id, final),
-      isAlone: () => this.gossip.isAlone(),
+      isIsolated: () => this.gossip.isIsolated(),
     });
     this.leading.start();
   }
@@ -164,7 +164,7 @@
 
   /** A node that reaches neither the state service nor a peer can do nothing for users. */
   ready(): boolean {
-    return this.parts.types !== null && !this.gossip.isAlone();
+    return this.parts.types !== null && !this.gossip.isIsolated();
   }
 
   /** The orders for a worker; or the leader to turn to; or null for "not now". */
--- a/src/service/parts.ts
+++ b/src/service/dependencies.ts
@@ -8,7 +8,7 @@
 import type { WorkerClient } from '../adapters/worker-client.js';
 import type { MachineType, NodeId, Policy } from '../core/types.js';
 
-export interface Parts {
+export interface Dependencies {
   readonly settings: Settings;
   readonly policy: Policy;
   readonly log: Log;
--- a/src/service/gossip.ts
+++ b/src/service/gossip.ts
@@ -6,9 +6,9 @@
 import { sleep, steadyNow } from '../adapters/clock.js';
 import type { Peer } from '../adapters/peer-link.js';
 import type { Instant, MachineId, NodeId, Term } from '../core/types.js';
+import type { Dependencies } from './dependencies.js';
 import type { Election } from './election.js';
 import type { Leadership } from './leadership.js';
-import type { Parts } from './parts.js';
 
 const GOSSIP_MS = 800;
 /** After stepping aside for a peer, how long before campaigning again. */
@@ -46,7 +46,7 @@
   private stopped = false;
 
   constructor(
-    private readonly parts: Parts,
+    private readonly parts: Dependencies,
     private readonly election: Election,
     private readonly leading: () => Leadership | null,
   ) {}
@@ -66,7 +66,7 @@
     return leader ?? this.helpers[0] ?? null;
   }
 
-  isAlone(): boolean {
+  isIsolated(): boolean {
     return this.aloneSince !== null && steadyNow() - this.aloneSince > ALONE_MS;
   }
 
--- a/src/service/leadership.ts
+++ b/src/service/leadership.ts
@@ -19,9 +19,9 @@
   type Term,
   type Ticket,
 } from '../core/types.js';
+import type { Dependencies } from './dependencies.js';
 import type { Election } from './election.js';
 import { Owner } from './owner.js';
-import type { Parts } from './parts.js';
 import { Persister } from './persister.js';
 import {
   type FinalRecord,
@@ -53,7 +53,7 @@
   /** A job's end is stored. */
   over(id: JobId, final: FinalRecord): void;
   /** Neither the state service nor any peer answers this node. */
-  isAlone(): boolean;
+  isIsolated(): boolean;
 }
 
 export class Leadership {
@@ -70,7 +70,7 @@
   private readonly keepAliveMs: Millis;
 
   constructor(
-    private readonly parts: Parts,
+    private readonly parts: Dependencies,
     readonly term: Term,
     acquiredAt: Instant,
     private readonly election: Election,
@@ -328,7 +328,7 @@
     }
     const authority = this.authority();
     if (authority === 'none') return 'elsewhere';
-    if (authority === 'keep-alive' && this.events.isAlone() && this.letsGo(report.machine))
+    if (authority === 'keep-alive' && this.events.isIsolated() && this.sendsElsewhere(report.machine))
       return 'elsewhere';
     const ticket = this.nextTicket++ as Ticket;
     const orders = await new Promise<readonly Order[] | null>((resolve) => {
@@ -354,7 +354,7 @@
    * soon will: it holds no worker that can go there. One that comes back well within its lease has found nobody, and is
    * kept alive here.
    */
-  private letsGo(machine: MachineId): boolean {
+  private sendsElsewhere(machine: MachineId): boolean {
     const now = steadyNow();
     const last = this.released.get(machine);
     if (last !== undefined && now - last < this.parts.settings.workers.leaseS * 750) return false;
--- a/src/service/persister.ts
+++ b/src/service/persister.ts
@@ -147,13 +147,13 @@
         !(await this.store([{ op: half, writes: [{ put: half.key, value: writeSegment(half) }] }], refused))
       )
         return false;
-      if (whole !== null) this.notePieces(whole, half.key);
+      if (whole !== null) this.rememberPieces(whole, half.key);
     }
     return true;
   }
 
   /** The core knows a record by one name; what it was cut into goes when it goes. */
-  private notePieces(whole: SegmentKey, piece: SegmentKey): void {
+  private rememberPieces(whole: SegmentKey, piece: SegmentKey): void {
     const known = this.pieces.get(whole) ?? [];
     for (const key of this.pieces.get(piece) ?? [piece]) known.push(key);
     this.pieces.delete(piece);
@@ -174,7 +174,7 @@
       if (result === 'too-large') return result;
       if (result === 'conflict' || result === 'unknown') {
         // An unanswered write may have been carried out: the first key's version tells.
-        const seen = await this.lookUp(writes, keys);
+        const seen = await this.readBack(writes, keys);
         if (seen !== 'not-yet') return seen;
       }
       await sleep(
@@ -193,7 +193,7 @@
     }
   }
 
-  private async lookUp(
+  private async readBack(
     writes: readonly Write[],
     keys: readonly string[],
   ): Promise<'stored' | 'lost' | 'not-yet'> {
--- a/src/service/users.ts
+++ b/src/service/users.ts
@@ -13,10 +13,10 @@
   type ZoneName,
 } from '../core/types.js';
 import { explainJob, viewJob } from '../core/view.js';
+import type { Dependencies } from './dependencies.js';
 import type { Election } from './election.js';
 import type { Gossip } from './gossip.js';
 import type { Leadership } from './leadership.js';
-import type { Parts } from './parts.js';
 import {
   type FinalRecord,
   finalKey,
@@ -91,7 +91,7 @@
   private turn = 0;
 
   constructor(
-    private readonly parts: Parts,
+    private readonly parts: Dependencies,
     private readonly election: Election,
     private readonly gossip: Gossip,
     private readonly leading: () => Leadership | null,
--- a/test/backfill.test.ts
+++ b/test/backfill.test.ts
@@ -3,7 +3,7 @@
 import { DEFAULT_POLICY } from '../src/adapters/settings.js';
 import { runRound } from '../src/core/backfill.js';
 import { deadlineScore } from '../src/core/rank.js';
-import { hold, newJob, newMachine, type Placement, release, takePending } from '../src/core/state.js';
+import { addPlacement, newJob, newMachine, type Placement, release, takePending } from '../src/core/state.js';
 import {
   type Attempt,
   type Instant,
@@ -137,7 +137,7 @@
       needs: null,
       segment: null,
     };
-    hold(state, p);
+    addPlacement(state, p);
     m.images.add(j.spec.image);
     const by = Math.max(startedAt + estimateS * 1000, NOW + Math.max(1000, (estimateS * 1000) / 4));
     const end = isService(j) ? Number.POSITIVE_INFINITY : by;
--- a/test/meetings.test.ts
+++ b/test/compound-failures.test.ts
@@ -1,4 +1,4 @@
-/** Two troubles that meet, told as stories to the core; docs/meetings.md lists which test brings about which. */
+/** Two troubles that meet, told as stories to the core; docs/compound-failures.md lists which test brings about which. */
 import { describe, expect, it } from 'vitest';
 import { segmentKey } from '../src/core/state.js';
 import { step } from '../src/core/step.js';
@@ -14,14 +14,14 @@
 } from '../src/core/types.js';
 import { viewJob } from '../src/core/view.js';
 import { core, entry, job, recordedAt, report, task, type } from './model/build.js';
-import { ended, running, Story } from './model/story.js';
+import { CoreDriver, ended, running } from './model/core-driver.js';
 
 const id = 'job-1' as JobId;
 const abort = { kind: 'abort', job: id, ticket: 77 as Ticket } as const;
 
-/** A story up to the last task of a job with two; what follows is stored only when told. */
+/** A core driven up to the last task of a job with two; what follows is stored only when told. */
 const atTheEnd = () => {
-  const s = new Story();
+  const s = new CoreDriver();
   s.submit('job-1', { tasks: 2 });
   const starts = s.starts(s.up('n-1'));
   s.checkIn('n-1', [ended(starts[0]!, 'done'), running(starts[1]!)]);
@@ -253,7 +253,7 @@
   });
 
   it('is told to the next leader’s workers: one that still runs it is stopped', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     s.submit('job-1', { tasks: 2 });
     const bits = new Uint8Array([1]);
     s.send({ kind: 'progress', segment: segmentKey(6 as Term, 1), job: id, from: 0, bits });
--- a/test/late-copies.test.ts
+++ b/test/duplicated-reports.test.ts
@@ -13,14 +13,14 @@
   Ticket,
 } from '../src/core/types.js';
 import { core, entry, job, recordedAt, report, type } from './model/build.js';
-import { running, Story } from './model/story.js';
+import { CoreDriver, running } from './model/core-driver.js';
 
 const asked = (effects: readonly Effect[], id: string) =>
   effects.some((e) => e.kind === 'delete' && e.machines.includes(id as MachineId));
 
 describe('late copies', () => {
   it('of reports prove nothing and free nothing: from before, from ended sessions, from deleted machines', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     s.up('n-1');
     s.submit('job-1', { tasks: 3 });
     const starts = s.starts(s.checkIn('n-1'));
@@ -69,7 +69,7 @@
   });
 
   it('of a rental’s answer, a deletion’s and a submission change nothing', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     s.submit('job-1');
     const rent = s.effects.find((e) => e.kind === 'rent');
     if (rent?.kind !== 'rent') throw new Error('nothing rented');
--- a/test/ledger.test.ts
+++ b/test/ledger.test.ts
@@ -15,14 +15,14 @@
 } from '../src/core/types.js';
 import { readSegment, writeSegment } from '../src/service/records.js';
 import { core, entry, job, recordedAt, report, task, team, type } from './model/build.js';
-import { ended, running, Story } from './model/story.js';
+import { CoreDriver, ended, running } from './model/core-driver.js';
 
 describe('the placement ledger', () => {
   const saves = (effects: readonly Effect[]): SaveOp[] =>
     effects.flatMap((e) => (e.kind === 'save' ? [...e.ops] : []));
 
   it('enters the starts of many machines with few changes, each record within a value', () => {
-    const s = new Story(
+    const s = new CoreDriver(
       core({ valueBytes: 2048, teams: new Map([['blue' as TeamName, team('blue', 800)]]) }),
     );
     const ids = Array.from({ length: 60 }, (_, i) => `n-${i}`);
@@ -69,7 +69,7 @@
   });
 
   it('tells progress when it is due, and before that only in a record that is written anyway', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     s.submit('job-1', { tasks: 4 });
     s.submit('job-2', { tasks: 4 });
     const starts = s.starts(s.up('n-1'));
@@ -109,7 +109,7 @@
   });
 
   it('starts nothing before every lease is surely over when a record cannot be read', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     const state = core();
     const send = (now: number, ...commands: Command[]) => step(state, commands, now as Instant, 'lead');
     send(
@@ -138,11 +138,11 @@
   });
 
   it('keeps few records while a few long tasks outlive many short ones', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     const records = new Set<string>();
     for (const id of ['n-1', 'n-2']) s.up(id);
     s.submit('job-999', { tasks: 1, estimateS: 9999 });
-    const held = new Map<string, ReturnType<Story['starts']>>([
+    const held = new Map<string, ReturnType<CoreDriver['starts']>>([
       ['n-1', []],
       ['n-2', []],
     ]);
@@ -169,7 +169,7 @@
 
 describe('a task’s state in a report', () => {
   it('of an attempt that this leader never gave is recorded, so that the next leader knows of it', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     s.submit('job-1', { tasks: 1 });
     s.pass(100);
     const odd = task('job-1', 0, 123);
--- a/test/model/story.ts
+++ b/test/model/core-driver.ts
@@ -1,4 +1,4 @@
-/** Tells a core a story: what is sent to it, what passes, what machines say. */
+/** Drives a core step by step: what is sent to it, what time passes, what machines report. */
 import type { CoreState } from '../../src/core/state.js';
 import { step } from '../../src/core/step.js';
 import type {
@@ -13,8 +13,8 @@
 } from '../../src/core/types.js';
 import { core, job, report, task, type } from './build.js';
 
-/** Drives a core by hand; saves are stored at once, so that each test reads like a story. */
-export class Story {
+/** Drives a core by hand; saves are stored at once, so that a test states only what matters to it. */
+export class CoreDriver {
   now = 0;
   readonly state: CoreState;
   effects: Effect[] = [];
--- a/test/unheard-machines.test.ts
+++ b/test/one-way-partitions.test.ts
@@ -2,14 +2,14 @@
 import { describe, expect, it } from 'vitest';
 import type { Effect, JobId, MachineId, TeamName, Ticket } from '../src/core/types.js';
 import { core, report, team } from './model/build.js';
-import { running, Story } from './model/story.js';
+import { CoreDriver, running } from './model/core-driver.js';
 
 const asked = (effects: readonly Effect[], id: string) =>
   effects.some((e) => e.kind === 'delete' && e.machines.includes(id as MachineId));
 
 describe('a machine whose reports arrive while nothing reaches it', () => {
   /** Its answers are lost: it goes on reporting that it has nothing. */
-  const deafen = (s: Story, id: string, reports: number) => {
+  const deafen = (s: CoreDriver, id: string, reports: number) => {
     const effects: Effect[] = [];
     for (let i = 0; i < reports; i += 1) {
       s.checkIn(id);
@@ -19,7 +19,7 @@
   };
 
   it('gets no more work, is replaced, and what was meant for it runs elsewhere once it is deleted', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     for (const id of ['n-1', 'n-2', 'n-3']) s.up(id);
     s.submit('job-1', { tasks: 1 });
     const holder = ['n-1', 'n-2', 'n-3'].find((id) => s.starts(s.checkIn(id)).length > 0)!;
@@ -36,7 +36,7 @@
   });
 
   it('is told by its rising sessions too; a start of an ended session never goes out again', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     for (const id of ['n-1', 'n-2', 'n-3', 'n-4', 'n-5']) s.up(id);
     s.submit('job-1', { tasks: 40 });
     const first = s.starts(s.checkIn('n-1'));
@@ -51,7 +51,7 @@
   });
 
   it('gets work again a lease later when nothing more tells against it', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     s.up('n-1');
     s.submit('job-1', { tasks: 1 });
     for (let i = 0; i < 3; i += 1) s.checkIn('n-1');
@@ -70,7 +70,7 @@
   });
 
   it('is not believed gone of a cancelled task: it stays counted until the proof', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     s.up('n-1');
     s.submit('job-1', { tasks: 8 });
     const starts = s.starts(s.checkIn('n-1'));
@@ -83,7 +83,7 @@
   });
 
   it('replaces nothing when many seem deaf: the fault is more likely ours', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     const ids = Array.from({ length: 10 }, (_, i) => `n-${i}`);
     for (const id of ids) s.up(id);
     s.submit('job-1', { tasks: 80, team: 'blue' });
@@ -99,7 +99,7 @@
 describe('machines that fall silent', () => {
   const roomy = () => core({ teams: new Map([['blue' as TeamName, team('blue', 400)]]) });
   /** Fifty machines with a task each; those named are not heard of while the others go on reporting. */
-  const silence = (names: readonly string[], ms: number, s = new Story(roomy())) => {
+  const silence = (names: readonly string[], ms: number, s = new CoreDriver(roomy())) => {
     const ids = Array.from({ length: 50 }, (_, i) => `n-${i}`);
     if (s.state.machines.size === 0) {
       for (const [seq, term] of [
@@ -156,7 +156,7 @@
   });
 
   it('get no more work until they are heard of again, and then at once', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     s.up('n-1');
     s.pass(2 * s.state.config.reportMs + 500);
     s.submit('job-1', { tasks: 1 });
--- a/test/gap.test.ts
+++ b/test/refusal-then-outage.test.ts
@@ -20,7 +20,7 @@
   type Ticket,
 } from '../src/core/types.js';
 import { core, entry, job, recordedAt, report, task, type } from './model/build.js';
-import { running, Story } from './model/story.js';
+import { CoreDriver, running } from './model/core-driver.js';
 import { post } from './stand-ins/cloud.js';
 import { body, cleanUp, cluster, status, until } from './stand-ins/cluster.js';
 
@@ -91,7 +91,7 @@
   });
 
   it('orders nothing else: what is not cancelled lives on, and nothing starts or is dropped', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     s.submit('job-1', { tasks: 2 });
     s.submit('job-2', { tasks: 3 });
     const starts = s.starts(s.up('n-1'));
@@ -148,7 +148,7 @@
 
 describe('a leader that is asked to cancel', () => {
   it('kills at once and starts no more of it, before the end is stored and any node can tell of it', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     s.submit('job-1', { tasks: 3 });
     const starts = s.starts(s.up('n-1'));
     s.checkIn('n-1', starts.map(running));
@@ -203,7 +203,7 @@
 
 describe('what tells of a job after its end', () => {
   it('does not take it up again: a late answer to its admission, a watch or a read', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     s.submit('job-1', { tasks: 2 });
     const starts = s.starts(s.up('n-1'));
     s.send(abort);
--- a/test/services.test.ts
+++ b/test/services.test.ts
@@ -18,7 +18,7 @@
 } from '../src/core/types.js';
 import { viewJob } from '../src/core/view.js';
 import { core, entry, job, recordedAt, report, type } from './model/build.js';
-import { ended, running, Story } from './model/story.js';
+import { CoreDriver, ended, running } from './model/core-driver.js';
 
 const service = (change: object = {}) => ({
   shape: 'service',
@@ -29,7 +29,7 @@
 });
 const kills = (effects: readonly Effect[]): Order[] =>
   effects.flatMap((e) => (e.kind === 'orders' ? e.orders.filter((o) => o.op === 'kill') : []));
-const view = (s: Story, id: string) => viewJob(s.state, id as JobId, s.now as Instant);
+const view = (s: CoreDriver, id: string) => viewJob(s.state, id as JobId, s.now as Instant);
 
 /** Machines that hold what they were told to start, and say so; returns all that was ever started on each. */
 class Fleet {
@@ -37,7 +37,7 @@
   readonly started: { order: Order; machine: string; at: number }[] = [];
 
   constructor(
-    readonly s: Story,
+    readonly s: CoreDriver,
     ids: readonly string[],
     readonly change: Record<string, object> = {},
   ) {
@@ -82,7 +82,7 @@
 
 describe('a service', () => {
   it('is never done: a replica that ends, for whatever cause, runs again under a new attempt', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     const fleet = new Fleet(s, ['n-1', 'n-2']);
     s.submit('job-1', service({ tasks: 2 }));
     for (let i = 0; i < 3; i += 1) fleet.round();
@@ -113,7 +113,7 @@
   });
 
   it('that has been cancelled loses all replicas, and none starts again', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     const fleet = new Fleet(s, ['n-1', 'n-2', 'n-3']);
     s.submit('job-1', service({ tasks: 3 }));
     for (let i = 0; i < 3; i += 1) fleet.round();
@@ -144,7 +144,7 @@
   });
 
   it('that fails at once everywhere pauses for longer and longer, holds up nobody and costs no machine', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     const fleet = new Fleet(s, ['n-1', 'n-2']);
     s.submit('job-1', service({ tasks: 2 }));
     s.submit('job-2', { tasks: 8, estimateS: 5 });
@@ -162,7 +162,7 @@
   });
 
   it('is not taken for faulty, and does not pause, for what one faulty machine does to it', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     const fleet = new Fleet(s, ['n-1', 'n-2', 'n-3']);
     s.submit('job-1', service({ tasks: 6 }));
     for (let i = 0; i < 20; i += 1) fleet.round((_, m) => (m === 'n-1' ? 'error' : null));
@@ -171,7 +171,7 @@
   });
 
   it('that the only machine there fails gets another to run on', () => {
-    const s = new Story(core({}, { standingShare: 0 }));
+    const s = new CoreDriver(core({}, { standingShare: 0 }));
     const fleet = new Fleet(s, ['n-1']);
     s.submit('job-1', service({ tasks: 1, spotOk: true }));
     fleet.round();
@@ -184,7 +184,7 @@
   });
 
   it('starts at once on a machine where nothing but replicas run: its check-in waits like an idle one’s', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     const fleet = new Fleet(s, ['n-1']);
     s.submit('job-1', service({ tasks: 1 }));
     for (let i = 0; i < 3; i += 1) fleet.round();
@@ -203,7 +203,7 @@
 
   it('leaves a machine with a notice once room is held elsewhere, and starts there only when proven gone', () => {
     const notice = { 'n-1': { spot: true, noticeS: null as number | null } };
-    const s = new Story();
+    const s = new CoreDriver();
     const fleet = new Fleet(s, ['n-1'], notice);
     s.submit('job-1', service({ tasks: 1, spotOk: true, estimateS: 500 }));
     for (let i = 0; i < 3; i += 1) fleet.round();
@@ -229,7 +229,7 @@
 
   it('spreads its replicas over machines, and over zones as it must, counting those not yet proven gone', () => {
     const zones = { 'n-1': { zone: 'a' }, 'n-2': { zone: 'a' }, 'n-3': { zone: 'b' }, 'n-4': { zone: 'b' } };
-    const s = new Story();
+    const s = new CoreDriver();
     const fleet = new Fleet(s, Object.keys(zones), zones);
     s.submit('job-1', service({ tasks: 4, scatter: true }));
     for (let i = 0; i < 3; i += 1) fleet.round();
@@ -253,7 +253,7 @@
   });
 
   it('when critical goes ahead of a head that reserves, stopping as little as it takes of what loses least', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     const fleet = new Fleet(s, ['n-1', 'n-2']);
     s.submit('job-1', { tasks: 15, estimateS: 300, priority: 'best_effort' });
     for (let i = 0; i < 4; i += 1) fleet.round();
@@ -274,7 +274,7 @@
   });
 
   it('that can never be placed in full holds up nobody', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     const fleet = new Fleet(s, ['n-1']);
     for (const [id, priority] of [
       ['job-1', 'critical'],
@@ -293,10 +293,10 @@
 });
 
 describe('a machine is rented', () => {
-  const rents = (s: Story) => s.effects.flatMap((e) => (e.kind === 'rent' ? [e] : []));
+  const rents = (s: CoreDriver) => s.effects.flatMap((e) => (e.kind === 'rent' ? [e] : []));
 
   it('in a zone where a service that must be spread may still go', () => {
-    const s = new Story(core({}, { standingShare: 0 }));
+    const s = new CoreDriver(core({}, { standingShare: 0 }));
     const fleet = new Fleet(s, ['n-1', 'n-2']);
     s.submit('job-1', service({ tasks: 2, spotOk: true, scatter: true }));
     for (let i = 0; i < 3; i += 1) fleet.round();
@@ -307,7 +307,7 @@
 
   it('for an array that fits no machine beside the replicas there, which do not make room', () => {
     for (const cpus of [3, 4]) {
-      const s = new Story(core({}, { standingShare: 0, headroom: 1 }));
+      const s = new CoreDriver(core({}, { standingShare: 0, headroom: 1 }));
       const fleet = new Fleet(s, ['n-1', 'n-2']);
       s.submit('job-1', service({ tasks: 10, spotOk: true }));
       for (let i = 0; i < 3; i += 1) fleet.round();
@@ -324,7 +324,7 @@
 
   it('are left to services by what may use cheap ones, and only while there are services', () => {
     for (const withService of [false, true]) {
-      const s = new Story();
+      const s = new CoreDriver();
       const fleet = new Fleet(s, ['n-1', 'n-2'], spots);
       if (withService) s.submit('job-1', service({ tasks: 1 }));
       s.submit('job-2', { tasks: 20, estimateS: 100 });
@@ -336,7 +336,7 @@
 
   it('are rented for services that may use no others, and not returned while they are needed', () => {
     // Nothing else asks for machines.
-    const s = new Story(core({}, { idleReturnS: 10, standingShare: 0 }));
+    const s = new CoreDriver(core({}, { idleReturnS: 10, standingShare: 0 }));
     const fleet = new Fleet(s, ['n-1', 'n-2'], { 'n-1': { spot: true }, 'n-2': { spot: false } });
     s.effects = [];
     s.submit('job-1', service({ tasks: 4 }));
@@ -362,7 +362,7 @@
   /** Of ten machines, one with a replica; these many of them fall silent. When each is deleted. */
   const deletions = (silent: number): Map<string, number> => {
     const ids = Array.from({ length: 10 }, (_, i) => `n-${i}`);
-    const s = new Story(core({ reportMs: 4000 as Millis }));
+    const s = new CoreDriver(core({ reportMs: 4000 as Millis }));
     const fleet = new Fleet(s, ids);
     s.submit('job-1', service({ tasks: 1 }));
     for (let i = 0; i < 3; i += 1) fleet.round();
@@ -398,7 +398,7 @@
 
 describe('replicas in the placement ledger', () => {
   it('stand in records of their own, which what ends soon does not make thin', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     const fleet = new Fleet(s, ['n-1', 'n-2']);
     // They begin together, so that their entries come in one batch.
     const specs = [job('job-900', service({ tasks: 4 })), job('job-901', { tasks: 12, spotOk: false })];
--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -4,11 +4,11 @@
 import { step } from '../src/core/step.js';
 import type { Command, Instant, MachineId, Term, Ticket } from '../src/core/types.js';
 import { core, entry, job, recordedAt, report, type } from './model/build.js';
-import { running, Story } from './model/story.js';
+import { CoreDriver, running } from './model/core-driver.js';
 
 describe('a controller that has lost the state service and its peers, but not its workers', () => {
   it('gives no orders, and a successor starts nothing twice, in time for cancelled jobs too', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     s.submit('job-1', { tasks: 2 });
     const starts = s.starts(s.up('n-1'));
     const told = starts.map(running);
--- a/test/troubles.test.ts
+++ b/test/troubles.test.ts
@@ -4,13 +4,13 @@
 import type { Effect, Instant, JobId, MachineId, Term, Ticket } from '../src/core/types.js';
 import { explainJob, viewJob } from '../src/core/view.js';
 import { core, job, report, task, type } from './model/build.js';
-import { ended, running, Story } from './model/story.js';
+import { CoreDriver, ended, running } from './model/core-driver.js';
 
 const SEGMENT = segmentKey(6 as Term, 1);
 
 describe('machines in trouble', () => {
   it('replaces a machine that fails tasks of several jobs', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     s.submit('job-1');
     s.submit('job-2');
     const starts = s.starts(s.up('n-1'));
@@ -27,7 +27,7 @@
   });
 
   it('does not blame machines for a job that fails on all of them, and tries it with pauses until cancelled', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     s.submit('job-1', { tasks: 1 });
     let tries = 0;
     for (const id of ['n-1', 'n-2', 'n-3']) s.up(id);
@@ -52,7 +52,7 @@
   });
 
   it('starts tasks of a silent machine elsewhere only once the cloud has deleted it', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     for (const id of ['n-1', 'n-2', 'n-3']) s.up(id);
     s.submit('job-1');
     const holder = ['n-1', 'n-2', 'n-3'].find((id) => s.starts(s.checkIn(id)).length > 0)!;
@@ -72,7 +72,7 @@
   });
 
   it('deletes nothing at once when most machines fall silent together', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     const ids = ['n-1', 'n-2', 'n-3', 'n-4'];
     for (const id of ids) s.up(id);
     // Their last words come a moment apart.
@@ -85,7 +85,7 @@
   });
 
   it('clears a machine with a notice: saves what can be saved, restarts elsewhere what would not end in time', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     s.submit('job-1', { tasks: 1, estimateS: 100, checkpointS: 10, saveS: 3 });
     s.submit('job-2', { tasks: 1, estimateS: 100 });
     s.submit('job-3', { tasks: 1, estimateS: 2 });
@@ -102,7 +102,7 @@
   });
 
   it('does not take a machine that a new leader hears of late for one that never came up', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     const machines = [
       {
         id: 'n-7' as MachineId,
@@ -119,7 +119,7 @@
   });
 
   it('replaces a machine that never comes up', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     s.submit('job-1');
     const rent = s.effects.find((e) => e.kind === 'rent');
     if (rent?.kind !== 'rent') throw new Error('nothing rented');
@@ -131,7 +131,7 @@
 
 describe('odd messages', () => {
   it('a report of a task that its job does not have is answered with a kill and counts as no task of the job', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     s.submit('job-1', { tasks: 2 });
     const starts = s.starts(s.up('n-1'));
     const odd = task('job-1', 999_999_999, 3);
@@ -189,7 +189,7 @@
   });
 
   it('without a valid lease keeps workers alive with empty answers, and then turns them away', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     s.submit('job-1', { tasks: 4 });
     const starts = s.starts(s.up('n-1'));
     expect(starts).toHaveLength(4);
@@ -220,7 +220,7 @@
       0 as Instant,
       'lead',
     );
-    const s = new Story(state);
+    const s = new CoreDriver(state);
     s.up('n-2');
     expect(s.starts(s.checkIn('n-2'))).toEqual([]);
     // A report from before this term, and a reply to direct orders, prove nothing.
@@ -236,7 +236,7 @@
   });
 
   it('tells the worker to drop a result only once it is stored', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     s.submit('job-1', { tasks: 2 });
     const starts = s.starts(s.up('n-1'));
     const told = [ended(starts[0]!, 'done'), running(starts[1]!)];
@@ -255,7 +255,7 @@
   });
 
   it('stops a cancelled job at once, even where its start is still under way, and says so only once that is stored', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     s.submit('job-1', { tasks: 2 });
     const starts = s.starts(s.up('n-1'));
     s.checkIn('n-1', [running(starts[0]!)]);
--- a/test/waiting.test.ts
+++ b/test/waiting.test.ts
@@ -1,11 +1,11 @@
 /** Once the troubles are over, no job waits for 90 s while a machine that fits has room and its team is under its limit. */
 import { describe, expect, it } from 'vitest';
 import { core, type task } from './model/build.js';
-import { ended, running, Story } from './model/story.js';
+import { CoreDriver, ended, running } from './model/core-driver.js';
 
 /** Plays check-ins of these machines, whose tasks go on running, until a task of the job starts; how long that took. */
 const startedAfter = (
-  s: Story,
+  s: CoreDriver,
   ids: readonly string[],
   job: string,
   told: Map<string, ReturnType<typeof task>[]>,
@@ -27,7 +27,7 @@
 
 describe('a job that waits beside room', () => {
   it('reserved for a head that has to wait for long gets a task of it before 90 s, not sooner', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     s.submit('job-1', { tasks: 1, cpus: 4, estimateS: 1000 });
     const first = s.starts(s.up('n-1'));
     const told = new Map([['n-1', first.map(running)]]);
@@ -41,7 +41,7 @@
   });
 
   it('again after it lost all that it had, though some of it is done', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     s.submit('job-1', { tasks: 1, cpus: 4, estimateS: 1000 });
     const first = s.starts(s.up('n-1'));
     s.submit('job-3', { tasks: 3, cpus: 1, estimateS: 5000, priority: 'best_effort' });
@@ -55,7 +55,7 @@
   });
 
   it('kept for services gets a task of it before 90 s, where there is no other room', () => {
-    const s = new Story(core());
+    const s = new CoreDriver(core());
     const ordinary = { spot: false };
     s.up('n-1', ordinary);
     s.submit('job-9', { shape: 'service', tasks: 1, cpus: 1, estimateS: 0, spotOk: false });
@@ -69,7 +69,7 @@
   });
 
   it('on the only machine that suits it, which failed it and is sound again, does not shun it for good', () => {
-    const s = new Story();
+    const s = new CoreDriver();
     s.submit('job-1', { tasks: 1 });
     const first = s.starts(s.up('n-1'));
     s.checkIn(
