--- a/src/service/election.ts
+++ b/src/service/election.ts
@@ -9,8 +9,6 @@
 const FOLLOW_MS = 10_000;
 const DRIFT = 0.001;
 const SLACK_MS = 50;
-/** Two runs that start within the same millisecond still differ. */
-const LIFE_RANGE = 1e9;
 
 export interface ElectionEvents {
   acquired(term: Term, at: Instant): void;
@@ -44,7 +42,7 @@
     private readonly log: Log,
     private readonly jitter: Jitter,
   ) {
-    this.life = `${Date.now()}-${jitter.around(LIFE_RANGE)}`;
+    this.life = `${Date.now()}-${process.hrtime.bigint()}`;
   }
 
   stop(): void {
