--- /dev/null
+++ b/test/api-limits.test.ts
@@ -0,0 +1,132 @@
+import { Hono } from 'hono';
+import pino from 'pino';
+import { afterEach, describe, expect, it, vi } from 'vitest';
+import { MAX_IN_FLIGHT, makeApi, serveApi } from '../src/adapters/api.js';
+import { parseSettings } from '../src/adapters/settings.js';
+import type { Instant, JobId, Ticket } from '../src/core/types.js';
+import type { Controller } from '../src/service/controller.js';
+import { Owner } from '../src/service/owner.js';
+import { core } from './model/build.js';
+import { post } from './stand-ins/cloud.js';
+import { cleanUp, cleanups, freePort, log, until } from './stand-ins/cluster.js';
+import { settingsText } from './stand-ins/settings.js';
+
+afterEach(cleanUp);
+
+describe('malformed reports', () => {
+  it('are refused each time and logged once for each machine, however often they come', async () => {
+    const port = await freePort();
+    const settings = parseSettings(settingsText({ api_addr: `127.0.0.1:${port}` }));
+    const lines: string[] = [];
+    const told = pino({ level: 'info' }, { write: (line: string) => lines.push(line) });
+    const server = serveApi(settings, makeApi({} as Controller, told), told);
+    cleanups.push(
+      () => server.close(),
+      () => server.closeAllConnections(),
+    );
+    for (let i = 0; i < 5; i += 1) {
+      for (const bad of [{ Berth: 'n-1' }, { Berth: 'n-2' }, 'not json', null]) {
+        expect((await post(`127.0.0.1:${port}`, '/checkin', bad))?.status).toBe(400);
+      }
+    }
+    expect(lines).toHaveLength(4);
+  });
+});
+
+describe('under overload', () => {
+  it('turns users away at once beyond a bound, with Retry-After, and serves again when there is room', async () => {
+    const port = await freePort();
+    const given = parseSettings(settingsText({ api_addr: `127.0.0.1:${port}` }));
+    const settings = { ...given, quota: { ...given.quota, maxConnections: 1000 } };
+    const app = new Hono();
+    const held: (() => void)[] = [];
+    let fast = false;
+    app.get('/slow', async (c) => {
+      if (!fast) await new Promise<void>((resolve) => held.push(resolve));
+      return c.json({});
+    });
+    const server = serveApi(settings, app, log);
+    cleanups.push(
+      () => server.close(),
+      () => server.closeAllConnections(),
+    );
+    const at = `127.0.0.1:${port}`;
+    await until(() => server.listening);
+    const waiting = Array.from({ length: MAX_IN_FLIGHT }, () => post(at, '/slow', undefined, 'GET'));
+    await until(() => held.length === MAX_IN_FLIGHT);
+    const refused = await post(at, '/slow', undefined, 'GET');
+    expect([refused?.status, refused?.headers['retry-after']]).toEqual([503, '1']);
+    fast = true;
+    for (const release of held) release();
+    for (const answer of await Promise.all(waiting)) expect(answer?.status).toBe(200);
+    expect((await post(at, '/slow', undefined, 'GET'))?.status).toBe(200);
+    expect(server.maxConnections).toBeLessThan(settings.quota.maxConnections);
+  });
+
+  it('answers within one long turn of the event loop, as when a whole fleet reports after a takeover', () => {
+    vi.useFakeTimers();
+    cleanups.push(() => vi.useRealTimers());
+    let clock = 0;
+    let settled = 0;
+    const owner = new Owner(
+      core(),
+      () => 'lead',
+      (effect) => {
+        if (effect.kind === 'settled') settled += 1;
+      },
+      () => clock as Instant,
+    );
+    owner.start([]);
+    vi.advanceTimersByTime(1);
+    // No timer fires while the turn lasts.
+    for (let i = 0; i < 500; i += 1) {
+      owner.submit({ kind: 'abort', job: 'job-1' as JobId, ticket: 1 as Ticket });
+      clock += 8;
+    }
+    expect(settled).toBeGreaterThan(400);
+    vi.advanceTimersByTime(1000);
+    expect(settled).toBe(500);
+  });
+
+  it('widens its batches: what comes in while a round is paid off is decided together', () => {
+    vi.useFakeTimers();
+    cleanups.push(() => vi.useRealTimers());
+    const steps: number[] = [];
+    const state = core();
+    let cost = 0;
+    const owner = new Owner(
+      state,
+      () => {
+        // Stands for a costly decision: the clock moves on while it is made.
+        vi.setSystemTime(Date.now() + cost);
+        clock += cost;
+        return 'lead';
+      },
+      (effect) => {
+        if (effect.kind === 'settled') steps[steps.length - 1]! += 1;
+      },
+      () => clock as Instant,
+    );
+    let clock = 0;
+    const abort = () => owner.submit({ kind: 'abort', job: 'job-1' as JobId, ticket: 1 as Ticket });
+    const load = (every: number, count: number) => {
+      steps.length = 0;
+      for (let i = 0; i < count; i += 1) {
+        abort();
+        clock += every;
+        const before = state.lastTick;
+        steps.push(0);
+        vi.advanceTimersByTime(every);
+        expect(state.lastTick).toBe(before);
+      }
+      return Math.max(...steps);
+    };
+    owner.start([]);
+    vi.advanceTimersByTime(1);
+    const light = load(2, 40);
+    cost = 40;
+    const heavy = load(2, 200);
+    expect(light).toBe(1);
+    expect(heavy).toBeGreaterThan(5);
+  });
+});
--- /dev/null
+++ b/test/isolated-leader.test.ts
@@ -0,0 +1,126 @@
+import { afterEach, describe, expect, it, vi } from 'vitest';
+import { CloudClient } from '../src/adapters/cloud-client.js';
+import { parseEndpoint } from '../src/adapters/settings.js';
+import type { Authority, MachineId, RequestName, TypeName, ZoneName } from '../src/core/types.js';
+import { Cloud, post } from './stand-ins/cloud.js';
+import { body, cleanUp, cleanups, cluster, freePort, type Node, status, until } from './stand-ins/cluster.js';
+
+afterEach(cleanUp);
+
+describe('a leader that is cut off', () => {
+  const leaderOf = (nodes: Node[]) => nodes.find((n) => n.controller.authority() === 'lead');
+
+  it('from the state service alone learns from a peer that another leads, and keeps no workers', async () => {
+    // Machines count as silent after four report periods: longer than a peer's word takes at the most.
+    const { nodes, fronts, cloud } = await cluster(3, 3, 600, -1, 0.5);
+    cloud.taskMs = 10_000_000;
+    const old = leaderOf(nodes)!;
+    await post(old.at, '/api/jobs', body('job-31'));
+    await until(async () => (await status(old.at, 'job-31'))?.body.running === 3);
+    fronts[nodes.indexOf(old)]!.refuse = true;
+    const next = await until(() => leaderOf(nodes.filter((n) => n !== old)));
+    // It cannot read this from the state service: only a peer can have told it.
+    await until(() => old.controller.election.leaderNode === `node-${nodes.indexOf(next)}`);
+    expect(old.controller.authority()).toBe('none');
+    await until(async () => (await status(next.at, 'job-31'))?.body.running === 3);
+    expect(cloud.starts).toHaveLength(3);
+  });
+
+  it('from the state service alone has a peer admit and look up jobs, and says no more than that peer', async () => {
+    const { nodes, fronts, state } = await cluster(3);
+    const cut = nodes.find((n) => n !== leaderOf(nodes))!;
+    fronts[nodes.indexOf(cut)]!.refuse = true;
+    await until(async () => (await post(cut.at, '/api/jobs', body('job-34')))?.status === 201);
+    expect(state.keys.has('j/job-34') || state.keys.has('f/job-34')).toBe(true);
+    expect((await post(cut.at, '/api/jobs', body('job-34')))?.status).toBe(200);
+    expect((await status(cut.at, 'job-34'))?.status).toBe(200);
+    expect((await status(cut.at, 'job-35'))?.status).toBe(404);
+    expect((await post(cut.at, '/up', undefined, 'GET'))?.status).toBe(200);
+  });
+
+  it('from the state service and all peers leaves its users to others until either is back', async () => {
+    const { nodes, fronts } = await cluster(2);
+    nodes[1]!.stop();
+    fronts[0]!.refuse = true;
+    const up = async () => (await post(nodes[0]!.at, '/up', undefined, 'GET'))?.status;
+    await until(async () => (await up()) === 503);
+    expect((await post(nodes[0]!.at, '/api/jobs', body('job-36')))?.status).toBe(503);
+    fronts[0]!.refuse = false;
+    await until(async () => (await up()) === 200);
+    await until(async () => (await post(nodes[0]!.at, '/api/jobs', body('job-36')))?.status === 201);
+  });
+
+  it('from the state service and its peers, but not its workers, lets them go to the next leader', async () => {
+    const { nodes, fronts, cloud } = await cluster(2, 3, 600, 0, 2);
+    const [old, next] = nodes as [Node, Node];
+    if (next.controller.authority() === 'lead') next.controller.election.resign(2000);
+    await until(() => old.controller.authority() === 'lead');
+    cloud.taskMs = 10_000_000;
+    // With report periods of 2 s none of the three machines is silent for too long while it finds the next leader.
+    await until(async () => (await post(old.at, '/api/jobs', body('job-37', { Cpus: 8 })))?.status === 201);
+    await until(async () => (await status(old.at, 'job-37'))?.body.running === 3);
+    fronts[0]!.refuse = true;
+    await until(() => next.controller.authority() === 'lead');
+    // Well before the 21 s for which it may keep workers alive without a lease.
+    await until(async () => (await status(next.at, 'job-37'))?.body.running === 3);
+    expect(old.controller.authority()).not.toBe('lead');
+    expect(cloud.starts).toHaveLength(3);
+  });
+
+  it('from the workers alone steps aside for a peer that hears them', async () => {
+    const { nodes, cloud } = await cluster(2);
+    const old = leaderOf(nodes)!;
+    const next = nodes.find((n) => n !== old)!;
+    await post(old.at, '/api/jobs', body('job-32'));
+    await until(async () => (await status(old.at, 'job-32'))?.body.Status === 'done');
+    cloud.nodes[nodes.indexOf(old)] = `127.0.0.1:${await freePort()}`;
+    await until(() => next.controller.authority() === 'lead');
+    await post(old.at, '/api/jobs', body('job-33'));
+    await until(async () => (await status(old.at, 'job-33'))?.body.Status === 'done');
+  });
+});
+
+describe('a leader that has stood still since it decided', () => {
+  it('sends no start that it decided before: right and time are looked at as the answer goes out', async () => {
+    const { nodes, cloud } = await cluster(1);
+    const { at, controller } = nodes[0]!;
+    type Inside = { authority(): Authority; carryOut(effect: { kind: string; orders?: unknown[] }): void };
+    const { leading } = controller as unknown as { leading: Inside };
+    let frozen = false;
+    let decided = 0;
+    const authority = leading.authority.bind(leading);
+    vi.spyOn(leading, 'authority').mockImplementation(() => (frozen ? 'keep-alive' : authority()));
+    const carryOut = leading.carryOut.bind(leading);
+    vi.spyOn(leading, 'carryOut').mockImplementation((effect) => {
+      carryOut(effect);
+      if (effect.kind !== 'answer' || !effect.orders?.length || decided > 0) return;
+      decided = effect.orders.length;
+      frozen = true;
+    });
+    expect((await post(at, '/api/jobs', body('job-1')))?.status).toBe(201);
+    await until(() => decided > 0);
+    await new Promise((resolve) => setTimeout(resolve, 300));
+    expect(cloud.starts).toEqual([]);
+    frozen = false;
+    await until(async () => (await status(at, 'job-1'))?.body.Status === 'done');
+    expect(new Set(cloud.starts.map((s) => s.split('#')[0])).size).toBe(3);
+    expect(cloud.starts).toHaveLength(3);
+  });
+
+  it('neither rents nor returns machines for it', async () => {
+    const cloud = new Cloud(3);
+    cloud.nodes = ['127.0.0.1:9'];
+    cleanups.push(() => cloud.close());
+    const client = new CloudClient(parseEndpoint(await cloud.listen()), 100);
+    cleanups.push(() => client.close());
+    const names = ['r-1' as RequestName, 'c8' as TypeName, 'a' as ZoneName] as const;
+    expect(await client.rent(...names, true, 2, () => false)).toBe('refused');
+    expect(cloud.workers.size).toBe(0);
+    const rented = await client.rent(...names, true, 2, () => true);
+    expect(cloud.workers.size).toBe(2);
+    expect(await client.delete(rented as MachineId[], () => false)).toBe(false);
+    expect(cloud.workers.size).toBe(2);
+    expect(await client.delete(rented as MachineId[], () => true)).toBe(true);
+    expect(cloud.workers.size).toBe(0);
+  });
+});
--- /dev/null
+++ b/test/persister.test.ts
@@ -0,0 +1,68 @@
+import { afterEach, describe, expect, it } from 'vitest';
+import { Jitter } from '../src/adapters/random.js';
+import { StateClient } from '../src/adapters/state-client.js';
+import { segmentKey } from '../src/core/state.js';
+import type { JobId, Revision, SaveOp, Term } from '../src/core/types.js';
+import { Persister } from '../src/service/persister.js';
+import { cleanUp, cleanups, log } from './stand-ins/cluster.js';
+import { StateService } from './stand-ins/state-service.js';
+
+afterEach(cleanUp);
+
+describe('the persister', () => {
+  const RATES = { rps: 1000, writeRps: 1000 };
+  const setUp = async () => {
+    const state = new StateService();
+    cleanups.push(() => state.close());
+    const at = await state.listen();
+    const [host, port] = at.split(':');
+    const client = new StateClient({ host: host!, port: Number(port) }, { ...RATES, lowered: RATES });
+    cleanups.push(() => client.close());
+    state.multi({ Apply: [{ Write: 'leader', Data: {} }] });
+    const persister = new Persister(client, state.epoch as Term, log, new Jitter(3));
+    return { state, persister };
+  };
+  const key = (n: number) => segmentKey(7 as Term, n);
+  const segment = (n: number, bits = n): SaveOp => ({
+    kind: 'segment',
+    key: key(n),
+    machines: [],
+    progress: [{ job: 'job-1' as JobId, from: 0, bits: Uint8Array.of(bits) }],
+  });
+
+  it('finds out by reading back that an unanswered write was carried out', async () => {
+    const { state, persister } = await setUp();
+    state.swallow = 1;
+    expect(await persister.save([segment(1)])).toEqual([]);
+    expect(state.transactions).toBe(1);
+    expect(await persister.save([segment(3), { kind: 'segment-gone', key: key(1) }])).toEqual([]);
+    expect(state.keys.get(key(3))?.data).toMatchObject({ d: [['job-1', 0, 'Aw==']] });
+    expect(state.keys.has(key(1))).toBe(false);
+  });
+
+  it('writes again what was not carried out', async () => {
+    const { state, persister } = await setUp();
+    state.drop = 2;
+    expect(await persister.save([segment(1)])).toEqual([]);
+    expect(state.transactions).toBe(3);
+  });
+
+  it('gives up once another leads, and changes nothing', async () => {
+    const { state, persister } = await setUp();
+    state.multi({ Apply: [{ Write: 'leader', Data: { node: 'other' } }] });
+    const gone: SaveOp = { kind: 'segment-gone', key: key(9) };
+    expect(await persister.save([segment(1), gone])).toBeNull();
+    expect(state.keys.has(key(1))).toBe(false);
+  });
+
+  it('a late copy of an older write fails, since each key is guarded by its version', async () => {
+    const { state, persister } = await setUp();
+    await persister.save([segment(1)]);
+    const late = {
+      Guards: [{ Path: key(1), Stamp: 0 as Revision }],
+      Apply: [{ Write: key(1), Data: 'old' }],
+    };
+    await persister.save([segment(3)]);
+    expect(state.multi(late).status).toBe(409);
+  });
+});
