--- a/test/check-ins.test.ts
+++ b/test/check-ins.test.ts
@@ -99,13 +99,18 @@
     () => server.close(),
     () => server.closeAllConnections(),
   );
+  /** Requests that Node's HTTP server has seen, of whatever kind. */
+  const passed = { count: 0 };
+  server.on('request', () => {
+    passed.count += 1;
+  });
   await until(() => server.listening);
-  return { port, bodies, waiting, control, server };
+  return { port, bodies, waiting, control, passed };
 };
 
 describe('connections of workers', () => {
   it('answer one request after the other, also cut into single bytes or sent at once', async () => {
-    const { port, bodies } = await echoServer();
+    const { port, bodies, passed } = await echoServer();
     const { socket, text } = await dial(port);
     for (const byte of request('{"n":1}')) socket.write(byte);
     await until(() => answersIn(text()) === 1);
@@ -114,10 +119,11 @@
     );
     await until(() => answersIn(text()) === 3);
     expect(bodies).toEqual(['{"n":1}', '{"n":2}', '{"n":"\u00e4"}']);
+    expect(passed.count).toBe(0);
   });
 
   it('hand over to the HTTP server whatever is no plain check-in, without losing a byte of it', async () => {
-    const { port, bodies } = await echoServer();
+    const { port, bodies, passed } = await echoServer();
     const { socket, text } = await dial(port);
     socket.write(request('{"n":1}'));
     await until(() => answersIn(text()) === 1);
@@ -133,6 +139,7 @@
     socket.write(request('{"n":3}'));
     await until(() => answersIn(text()) === 4);
     expect(bodies).toEqual(['{"n":1}', '{"n":2}', '{"n":3}']);
+    expect(passed.count).toBe(3);
     expect(text()).toContain('{"ok":true}');
   });
 
