Fleets of 4,000 machines: reports, attempt numbers, watches and lists without a fixed limit

Need: the service also runs at about 4,000 machines. The report reader forgot machines beyond 4,096, a term ended after a million attempts (under an hour at 300 starts a second), a watch answer over 8 MiB failed for ever, and lists of nine pages took most of the cloud's rate. Change: last reports are kept by rounds that follow the fleet; revisions stored under a term lend their attempt numbers, since none of them can become anybody's term; an answer of a watch that is too large is read again in pages; lists pause by their pages.

--- a/src/adapters/cloud-client.ts
+++ b/src/adapters/cloud-client.ts
@@ -15,16 +15,20 @@
 const REQUEST_MS = 6000;
 const QUEUE_MS = 3000;
 const PAGE = 500;
+/** Of the rate, how much lists may take; the rest is for rentals and returns. */
+const LIST_SHARE = 0.4;
 
 export class CloudClient {
   private readonly http: HttpClient;
   private readonly limiter: RateLimiter;
   /** The last call got no answer, or one of trouble. */
   away = false;
+  /** Requests that the last list took. */
+  private pages = 1;
 
   constructor(
     at: Endpoint,
-    rps: number,
+    private readonly rps: number,
     /** Told of answers that are none of the protocol's, by what was asked. */
     private readonly onOdd: (asked: string) => void = () => {},
   ) {
@@ -84,6 +88,7 @@
 
   async list(): Promise<ListedMachine[] | null> {
     const all: ListedMachine[] = [];
+    let pages = 0;
     for (;;) {
       const after = all.at(-1)?.id;
       const since = after === undefined ? '' : `Since=${encodeURIComponent(after)}&`;
@@ -91,10 +96,18 @@
       const page = this.read('list', reply, parseMachines);
       if (!page) return null;
       all.push(...page.machines);
-      if (!page.more || page.machines.length === 0) return all;
+      pages += 1;
+      if (page.more && page.machines.length > 0) continue;
+      this.pages = pages;
+      return all;
     }
   }
 
+  /** How long to wait between lists, so that those of a large fleet leave the rate to rentals and returns. */
+  get listPauseMs(): number {
+    return (this.pages / (this.rps * LIST_SHARE)) * 1000;
+  }
+
   close(): void {
     this.http.close();
   }
--- a/src/adapters/http-client.ts
+++ b/src/adapters/http-client.ts
@@ -8,6 +8,7 @@
   | { readonly kind: 'none'; readonly sent: boolean; readonly reason: string };
 
 export const NOT_JSON = 'answer is not JSON';
+export const TOO_LARGE = 'answer too large';
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 
 export const exchange = (
@@ -63,7 +64,7 @@
       let size = 0;
       res.on('data', (part: Buffer) => {
         size += part.length;
-        if (size > MAX_ANSWER_BYTES) fail('answer too large');
+        if (size > MAX_ANSWER_BYTES) fail(TOO_LARGE);
         else parts.push(part);
       });
       res.on('error', (error) => fail(error.message));
--- a/src/adapters/report-reader.ts
+++ b/src/adapters/report-reader.ts
@@ -93,14 +93,22 @@
   );
 };
 
-/** Machines whose last report is remembered; beyond them the one that was added first is forgotten. */
-const MAX_REMEMBERED = 4096;
+/**
+ * Last reports are kept for the whole fleet, however large: a machine is forgotten once the others have sent this many
+ * reports each without it. Small fleets forget no sooner than after the second number of reports.
+ */
+const REPORTS_EACH = 8;
+const LEAST_REPORTS = 1024;
 /** After this many new entries in one report the last one is not searched any more: it would cost more than it saves. */
 const MAX_NEW = 64;
 
 /** Reads reports one after the other, and checks of each only what its machine's last one did not say already. */
 export class ReportReader {
-  private readonly last = new Map<string, readonly ReadTask[]>();
+  /** Last reports of the machines heard in this round, and in the one before. */
+  private current = new Map<string, readonly ReadTask[]>();
+  private previous = new Map<string, readonly ReadTask[]>();
+  /** Reports read in this round. */
+  private reports = 0;
 
   /** Entries that had to be checked in full; the others were known from the report before. */
   checked = 0;
@@ -110,7 +118,8 @@
     const result = v.safeParse(reportSchema, body);
     if (!result.success) return null;
     const b = result.output;
-    const read = this.readTasks(b.Pieces ?? [], this.last.get(b.Berth) ?? []);
+    const last = this.current.get(b.Berth) ?? this.previous.get(b.Berth) ?? [];
+    const read = this.readTasks(b.Pieces ?? [], last);
     if (!read) return null;
     this.remember(b.Berth, read);
     return {
@@ -154,14 +163,19 @@
   }
 
   private remember(machine: string, tasks: readonly ReadTask[]): void {
-    if (tasks.length === 0) {
-      this.last.delete(machine);
-      return;
-    }
-    this.last.set(machine, tasks);
-    if (this.last.size <= MAX_REMEMBERED) return;
-    const oldest = this.last.keys().next().value;
-    if (oldest !== undefined) this.last.delete(oldest);
+    this.current.set(machine, tasks);
+    this.reports += 1;
+    if (this.reports < Math.max(LEAST_REPORTS, this.current.size * REPORTS_EACH)) return;
+    this.previous = this.current;
+    this.current = new Map();
+    this.reports = 0;
+  }
+
+  /** How many machines' last reports are kept. */
+  get remembered(): number {
+    let count = this.current.size;
+    for (const machine of this.previous.keys()) if (!this.current.has(machine)) count += 1;
+    return count;
   }
 }
 
--- a/src/adapters/state-client.ts
+++ b/src/adapters/state-client.ts
@@ -2,7 +2,7 @@
 import * as v from 'valibot';
 import type { Revision } from '../core/types.js';
 import { steadyNow } from './clock.js';
-import { HttpClient, NOT_JSON, type Reply } from './http-client.js';
+import { HttpClient, NOT_JSON, type Reply, TOO_LARGE } from './http-client.js';
 import { RateLimiter } from './rate-limiter.js';
 import type { Endpoint } from './settings.js';
 
@@ -271,6 +271,8 @@
     const target = `/follow?${path({ Under: prefix, Since: since, HoldMs: holdMs })}`;
     const reply = await this.watches.call('GET', target, undefined, holdMs + 3000);
     if (reply.kind === 'answer' && reply.status === 410) return 'too-old';
+    // A watch tells every change at once, without bound: what does not fit an answer is read again in pages.
+    if (reply.kind === 'none' && reply.reason === TOO_LARGE) return 'too-old';
     if (reply.kind === 'answer' && reply.status === 200) {
       const body = v.safeParse(followSchema, reply.body);
       if (body.success) {
--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -31,6 +31,7 @@
   type MachineId,
   type Millis,
   type ProgressRow,
+  type Revision,
   type SaveOp,
   type SegmentKey,
   type TaskIndex,
@@ -269,9 +270,11 @@
   state: CoreState,
   id: number,
   refused: readonly SaveOp[],
+  revision: Revision | undefined,
   now: Instant,
   effects: Effect[],
 ): void => {
+  if (revision !== undefined && revision > state.storedRevision) state.storedRevision = revision;
   const batch = state.batch;
   if (!batch || batch.id !== id) return;
   state.batch = null;
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -14,10 +14,11 @@
 import { runMs } from './estimates.js';
 import { capacitiesForReplicas } from './services.js';
 import {
-  ATTEMPTS_PER_TERM,
+  ATTEMPTS_PER_REVISION,
   addPlacement,
   type CoreState,
   failsEverywhere,
+  hasAttemptLeft,
   type Job,
   type Placement,
   takePending,
@@ -74,11 +75,11 @@
 const place = (state: CoreState, job: Job, capacity: FreeCapacity, now: Instant): Placement | null => {
   const index = takePending(job);
   if (index === null) return null;
-  if (state.nextAttempt >= ATTEMPTS_PER_TERM) {
+  if (!hasAttemptLeft(state)) {
     job.returned.push(index);
     return null;
   }
-  const attempt = (state.config.term * ATTEMPTS_PER_TERM + state.nextAttempt) as Attempt;
+  const attempt = (state.config.term * ATTEMPTS_PER_REVISION + state.nextAttempt) as Attempt;
   state.nextAttempt += 1;
   const { id, team, cpus, gpus, memoryGb } = job.spec;
   const entry: LedgerEntry = { job: id, index, attempt, team, cpus, gpus, memoryGb };
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -12,6 +12,7 @@
   type Millis,
   type Policy,
   type RequestName,
+  type Revision,
   type SegmentKey,
   type TaskIndex,
   type Team,
@@ -33,8 +34,12 @@
 /** What a ledger record may hold, by the settings' bound for a value. */
 export const recordBytes = ({ valueBytes }: CoreConfig): number => Math.min(valueBytes * 0.96, RECORD_BYTES);
 
-/** Attempts a term may give out; their numbers hold the term, so none is ever given twice. */
-export const ATTEMPTS_PER_TERM = 1_000_000;
+/**
+ * Attempt numbers that belong to one revision of the state service, so that none is ever given twice: a leader begins at
+ * those of its term. Revisions at which it has stored anything since, guarded by the leader key, can become nobody's term:
+ * their numbers are its own too.
+ */
+export const ATTEMPTS_PER_REVISION = 1_000_000;
 
 export interface CoreConfig {
   readonly term: Term;
@@ -222,6 +227,8 @@
   readonly usage: Map<TeamName, { cpus: number; gpus: number }>;
   head: JobId | null;
   nextAttempt: number;
+  /** The newest revision that was stored under this term. */
+  storedRevision: Revision;
   nextRequest: number;
   nextBatch: number;
   batch: Batch | null;
@@ -264,6 +271,7 @@
   usage: new Map(),
   head: null,
   nextAttempt: 0,
+  storedRevision: config.term as number as Revision,
   nextRequest: 0,
   nextBatch: 1,
   batch: null,
@@ -347,6 +355,10 @@
   return chunk;
 };
 
+/** Whether a number is left for another attempt. */
+export const hasAttemptLeft = ({ config, nextAttempt, storedRevision }: CoreState): boolean =>
+  nextAttempt < (storedRevision - config.term + 1) * ATTEMPTS_PER_REVISION;
+
 /** Takes the next waiting task, or null. The caller places it or gives it back. */
 export const takePending = (job: Job): TaskIndex | null => {
   while (job.returned.length > 0) {
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -44,7 +44,7 @@
     case 'report':
       return onReport(state, command.report, command.ticket, now, effects);
     case 'saved':
-      return onSaved(state, command.batch, command.refused ?? [], now, effects);
+      return onSaved(state, command.batch, command.refused ?? [], command.revision, now, effects);
     case 'types':
       return setTypes(state, command.types);
     case 'listed':
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -226,7 +226,13 @@
   | { readonly kind: 'abort'; readonly job: JobId; readonly ticket: Ticket }
   | { readonly kind: 'report'; readonly report: Report; readonly ticket: Ticket | null }
   /** `refused`: changes that the state service takes in no size; the others of the batch are stored. */
-  | { readonly kind: 'saved'; readonly batch: number; readonly refused?: readonly SaveOp[] }
+  | {
+      readonly kind: 'saved';
+      readonly batch: number;
+      readonly refused?: readonly SaveOp[];
+      /** The newest revision stored under this term. */
+      readonly revision?: Revision;
+    }
   | { readonly kind: 'types'; readonly types: readonly MachineType[] }
   | { readonly kind: 'listed'; readonly askedAt: Instant; readonly machines: readonly ListedMachine[] }
   | {
--- a/src/service/leadership.ts
+++ b/src/service/leadership.ts
@@ -252,7 +252,7 @@
           }
         }
       }
-      await sleep(LIST_EVERY_MS);
+      await sleep(Math.max(LIST_EVERY_MS, this.parts.cloud.listPauseMs));
     }
   }
 
@@ -282,7 +282,8 @@
         this.parts.spawn('save', async () => {
           const refused = await this.persister.save(effect.ops);
           if (!this.current) return;
-          if (refused) this.owner.submit({ kind: 'saved', batch: effect.batch, refused });
+          const revision = this.persister.lastRevision;
+          if (refused) this.owner.submit({ kind: 'saved', batch: effect.batch, refused, revision });
           else this.election.deposed();
         });
         return;
--- a/src/service/persister.ts
+++ b/src/service/persister.ts
@@ -56,6 +56,8 @@
   private cuts = 0;
   private toldTooLarge = false;
   private stopped = false;
+  /** Revision of the newest change that is known to be stored under this term. */
+  lastRevision: Revision;
 
   constructor(
     private readonly state: StateClient,
@@ -64,7 +66,9 @@
     private readonly jitter: Jitter,
     /** Changes that the service takes at once, by the settings; should it refuse them, fewer. */
     private mostChanges = Number.POSITIVE_INFINITY,
-  ) {}
+  ) {
+    this.lastRevision = term as number as Revision;
+  }
 
   stop(): void {
     this.stopped = true;
@@ -187,6 +191,7 @@
   }
 
   private remember(writes: readonly Write[], revision: Revision): void {
+    this.lastRevision = Math.max(this.lastRevision, revision) as Revision;
     for (const w of writes) {
       if ('del' in w) this.stamps.delete(w.del);
       else if (!w.put.startsWith('f/')) this.stamps.set(w.put, revision);
--- a/test/model/core-driver.ts
+++ b/test/model/core-driver.ts
@@ -109,6 +109,13 @@
     this.send({ kind: 'job', spec: job(id, change), submittedAt: this.now as Instant });
   }
 
+  /** What a machine would report if it were asked now. */
+  lastReport(id: string): Report {
+    const m = this.state.machines.get(id as Report['machine'])!;
+    const tasks = [...m.placements.values()].map((p) => task(p.entry.job, p.entry.index, p.entry.attempt));
+    return report(id, (this.seqs.get(id) ?? 0) + 1, this.state.config.term, tasks);
+  }
+
   starts(orders: readonly Order[] | null): Order[] {
     return (orders ?? []).filter((o) => o.op === 'start');
   }
