--- /dev/null
+++ b/packages/drain/src/core/drains.ts
@@ -0,0 +1,512 @@
+/**
+ * The drains of one term of leadership: takes machines step by step, stores each decision before it acts on it, and goes on
+ * after a change of leader from what is stored.
+ */
+import type {
+  Attempt,
+  AttemptView,
+  ExtensionEvent,
+  ExtensionRecord,
+  MachineId,
+  MachineView,
+  Moment,
+  RecordWrite,
+} from '@robinspread/extension-api';
+import { BudgetLedger, type Disruption } from './budget.js';
+import { headBlocker } from './head-check.js';
+import { Progress } from './progress.js';
+import { RecordStore } from './record-store.js';
+import {
+  disruptionsKey,
+  drainKey,
+  machineKey,
+  readState,
+  writeDisruptions,
+  writeDrain,
+  writeMachine,
+} from './records.js';
+import { Replacements } from './replacements.js';
+import { byDisturbance, isGoing, membersOf, workOn } from './selection.js';
+import type { DrainSettings } from './settings.js';
+import type { Turn } from './turn.js';
+import type { Blocker, Drain, DrainName, MachineDrain } from './types.js';
+
+/** Beyond the time that a task needs to save, before it is ended. */
+const GRACE_MARGIN_S = 5;
+/** Finished drains whose end can still be asked for. */
+const KEEP_FINISHED = 50;
+/** Of a value, how much rows of one record may fill. */
+const RECORD_SHARE = 0.9;
+
+const isBlocker = (result: Disruption | Blocker): result is Blocker => 'kind' in result;
+
+export const isFinished = ({ phase }: Drain): boolean => phase === 'done' || phase === 'cancelled';
+
+export class Drains {
+  readonly all = new Map<DrainName, Drain>();
+  readonly budget: BudgetLedger;
+  readonly progress: Progress;
+  /** Drains of which nothing but the name could be read. */
+  readonly unreadable = new Set<DrainName>();
+  private readonly store = new RecordStore();
+  private readonly replacements: Replacements;
+  /** Keys of the stored disruption records. */
+  private readonly disruptionRecords = new Set<string>();
+  private nextRecord = 1;
+  /** Replicas that would be moved off machines that leave for other reasons than a drain. */
+  private readonly wishes = new Map<Attempt, AttemptView>();
+  private readonly lost: string[] = [];
+
+  constructor(private readonly settings: DrainSettings) {
+    this.budget = new BudgetLedger(settings);
+    this.progress = new Progress(settings.stalledAfterS);
+    this.replacements = new Replacements(settings);
+  }
+
+  // ---- what was stored ---------------------------------------------------------------------------
+
+  /** Goes on from what a former leader stored. */
+  load(records: readonly ExtensionRecord[]): void {
+    const stored = readState(records);
+    for (const [name, drain] of stored.drains) this.all.set(name, drain);
+    for (const disruption of stored.disruptions) {
+      this.budget.disruptions.set(disruption.attempt, disruption);
+      if (disruption.record !== null) this.disruptionRecords.add(disruption.record);
+    }
+    this.lost.push(...stored.lost);
+    for (const name of stored.unreadable) this.setAside(name);
+  }
+
+  /** Something of it cannot be read: nothing more is done until an operator has looked at it. */
+  private setAside(name: DrainName): void {
+    const drain = this.all.get(name);
+    if (!drain) this.unreadable.add(name);
+    else if (!isFinished(drain)) {
+      drain.phase = 'paused';
+      drain.pausedBecause = 'a record of it cannot be read';
+    }
+  }
+
+  // ---- what happens ------------------------------------------------------------------------------
+
+  observe(event: ExtensionEvent, moment: Moment): RecordWrite[] {
+    switch (event.kind) {
+      case 'released':
+        this.onReleased(event.attempt, event.how, moment);
+        return [];
+      case 'rented': {
+        const rented = this.replacements.answered(event.request, event.result, event.machines, moment);
+        const drain = rented && this.drainOf(rented.machine);
+        if (!drain) return [];
+        this.progress.moved(drain, moment);
+        return [this.machineWrite(drain, rented)];
+      }
+      case 'stored':
+        this.store.settled(event.writes);
+        for (const { key } of event.writes) this.onStored(key, moment);
+        return [];
+      case 'refused':
+        this.store.settled(event.writes);
+        for (const { key } of event.writes) this.onRefused(key);
+        return [];
+    }
+  }
+
+  private onReleased(attempt: AttemptView, how: 'reported' | 'gone', moment: Moment): void {
+    const { job, phase, machine, kill, superseded } = attempt;
+    const begun = phase === 'fetching' || phase === 'running' || phase === 'saving' || phase === 'recorded';
+    if (!begun || !job || job.final !== 'none' || superseded) return;
+    const taken = machine.noticeUntil !== null || machine.lostAt !== null || machine.deleting;
+    if (kill && !taken) {
+      // A stop of this package is known already; one for priority, or of a rival attempt, does not count.
+      if (this.budget.disruptions.has(attempt.entry.attempt)) this.budget.suffer(attempt, moment);
+      return;
+    }
+    if (how === 'gone' || (kill && taken)) this.budget.suffer(attempt, moment);
+    else this.budget.withdraw(attempt.entry.attempt);
+  }
+
+  private onStored(key: string, moment: Moment): void {
+    for (const disruption of this.budget.disruptions.values()) {
+      if (disruption.record === key) this.budget.grant(disruption, moment);
+    }
+  }
+
+  /** The state service takes it in no size. */
+  private onRefused(key: string): void {
+    for (const disruption of this.budget.disruptions.values()) {
+      if (disruption.record === key) this.budget.withdraw(disruption.attempt);
+    }
+    this.disruptionRecords.delete(key);
+    for (const drain of this.all.values()) {
+      const { name } = drain.request;
+      const its = key === drainKey(name) || key.startsWith(machineKey(name, '' as MachineId));
+      if (!its || isFinished(drain)) continue;
+      drain.phase = 'paused';
+      drain.pausedBecause = 'the state service refuses a record of it as too large';
+    }
+  }
+
+  isStored(drain: Drain): boolean {
+    return this.store.isStored(drainKey(drain.request.name));
+  }
+
+  // ---- the gate ----------------------------------------------------------------------------------
+
+  /** The drain of whose current step a machine is part. */
+  drainOf(machine: MachineId): Drain | null {
+    for (const drain of this.all.values()) if (drain.current.has(machine)) return drain;
+    return null;
+  }
+
+  private isReplacement(machine: MachineId): boolean {
+    for (const { current } of this.all.values()) {
+      for (const { replacement } of current.values()) if (replacement === machine) return true;
+    }
+    return false;
+  }
+
+  mayReturn(machine: MachineView): boolean {
+    return !this.isReplacement(machine.id);
+  }
+
+  /** Replicas of a drained machine are asked for by its drain, others here. */
+  mayMove(attempt: AttemptView): boolean {
+    const drain = this.drainOf(attempt.machine.id);
+    if (drain && drain.phase !== 'running') return false;
+    if (this.budget.isGranted(attempt.entry.attempt)) return true;
+    if (!drain) this.wishes.set(attempt.entry.attempt, attempt);
+    return false;
+  }
+
+  // ---- decisions ---------------------------------------------------------------------------------
+
+  decide(turn: Turn): void {
+    this.reportLost(turn);
+    if (!turn.fleet.settled) {
+      for (const drain of this.all.values()) this.keepCordons(drain, turn);
+      return;
+    }
+    this.countNotices(turn);
+    this.budget.update(turn.fleet, turn.moment);
+    for (const attempt of this.wishes.values()) this.budget.request(attempt, turn.fleet, turn.moment);
+    this.wishes.clear();
+    for (const drain of this.all.values()) this.advance(drain, turn);
+    this.storeDisruptions(turn);
+    this.dropDisruptionRecords(turn);
+  }
+
+  private reportLost({ requests }: Turn): void {
+    for (const key of this.lost.splice(0)) {
+      requests.push({ kind: 'log', level: 'info', text: 'unreadable record of a drain', fields: { key } });
+    }
+  }
+
+  /** Until the fleet has reported, machines that were taken out of use stay so. */
+  private keepCordons(drain: Drain, { requests }: Turn): void {
+    this.progress.begin(drain);
+    this.progress.block(drain, { kind: 'fleet-unsettled' });
+    for (const { machine, phase } of drain.current.values()) {
+      if (phase !== 'waiting') requests.push({ kind: 'cordon', machine });
+    }
+  }
+
+  /** Tasks that a notice stops are disrupted from that moment on. */
+  private countNotices({ fleet, moment }: Turn): void {
+    for (const machine of fleet.machines.values()) {
+      if (machine.noticeUntil === null) continue;
+      for (const attempt of machine.placements.values()) {
+        const open = attempt.job?.final === 'none' && !attempt.superseded && attempt.phase !== 'ended';
+        if (open && attempt.kill) this.budget.suffer(attempt, moment);
+      }
+    }
+  }
+
+  private advance(drain: Drain, turn: Turn): void {
+    if (isFinished(drain) && drain.current.size === 0) return;
+    this.progress.begin(drain);
+    this.pauseAtDeadline(drain, turn);
+    let attempts = 0;
+    for (const machineDrain of [...drain.current.values()]) {
+      this.advanceMachine(drain, machineDrain, turn);
+      attempts += turn.fleet.machines.get(machineDrain.machine)?.placements.size ?? 0;
+    }
+    this.progress.noteAttempts(drain, attempts, turn.moment);
+    const active = drain.phase === 'running' || drain.phase === 'pending';
+    if (active && drain.current.size === 0) this.beginStep(drain, turn);
+  }
+
+  private pauseAtDeadline(drain: Drain, turn: Turn): void {
+    const active = drain.phase === 'running' || drain.phase === 'pending';
+    if (!active || drain.deadlineAt === null || turn.moment.timeOfDay < drain.deadlineAt) return;
+    this.setPhase(drain, 'paused', 'its deadline has passed', turn);
+  }
+
+  /** Changes the state of a drain and stores it. */
+  setPhase(drain: Drain, phase: Drain['phase'], why: string | null, turn: Turn): void {
+    const { name } = drain.request;
+    drain.phase = phase;
+    drain.pausedBecause = why;
+    this.progress.moved(drain, turn.moment);
+    turn.requests.push(this.store.write(this.drainWrite(drain)));
+    const fields = { drain: name, phase, ...(why === null ? {} : { why }) };
+    turn.requests.push({ kind: 'log', level: 'info', text: 'drain', fields });
+  }
+
+  private drainWrite(drain: Drain): RecordWrite {
+    return { key: drainKey(drain.request.name), value: writeDrain(drain) };
+  }
+
+  private machineWrite(drain: Drain, machineDrain: MachineDrain): RecordWrite {
+    const key = machineKey(drain.request.name, machineDrain.machine);
+    return { key, value: writeMachine(machineDrain) };
+  }
+
+  /** Stores changes that events brought about. */
+  storeLater(writes: readonly RecordWrite[], turn: Turn): void {
+    for (const write of writes) turn.requests.push(this.store.write(write));
+  }
+
+  // ---- one machine -------------------------------------------------------------------------------
+
+  private advanceMachine(drain: Drain, machineDrain: MachineDrain, turn: Turn): void {
+    const { fleet, requests } = turn;
+    const machine = fleet.machines.get(machineDrain.machine);
+    if (!this.store.isStored(machineKey(drain.request.name, machineDrain.machine))) return;
+    if (!machine) return this.close(drain, machineDrain, turn);
+    if (machineDrain.phase !== 'waiting') requests.push({ kind: 'cordon', machine: machine.id });
+    if (machineDrain.phase === 'returning') {
+      requests.push({ kind: 'return', machine: machine.id });
+      this.progress.block(drain, { kind: 'return-unconfirmed' }, machine.id);
+      return;
+    }
+    // What is about to go by itself is left to the ordinary path.
+    if (drain.phase !== 'running' || isGoing(machine)) return;
+    if (drain.request.replace && !this.hasReplacement(drain, machineDrain, machine, turn)) return;
+    if (machineDrain.phase === 'waiting') {
+      requests.push({ kind: 'cordon', machine: machine.id });
+      return this.setMachinePhase(drain, machineDrain, 'cordoned', turn);
+    }
+    if (machine.placements.size === 0) return this.setMachinePhase(drain, machineDrain, 'returning', turn);
+    this.empty(drain, machineDrain, machine, turn);
+  }
+
+  private setMachinePhase(
+    drain: Drain,
+    machineDrain: MachineDrain,
+    phase: MachineDrain['phase'],
+    turn: Turn,
+  ): void {
+    machineDrain.phase = phase;
+    this.progress.moved(drain, turn.moment);
+    turn.requests.push(this.store.write(this.machineWrite(drain, machineDrain)));
+  }
+
+  /** The machine has left the fleet: by its return, or before it. */
+  private close(drain: Drain, machineDrain: MachineDrain, turn: Turn): void {
+    const { machine, phase, request } = machineDrain;
+    if (phase === 'returning') drain.returned += 1;
+    else drain.failed += 1;
+    drain.current.delete(machine);
+    this.replacements.forget(request);
+    this.progress.moved(drain, turn.moment);
+    const dropped = { key: machineKey(drain.request.name, machine), value: null };
+    turn.requests.push({ kind: 'uncordon', machine });
+    turn.requests.push(this.store.write(this.drainWrite(drain), dropped));
+  }
+
+  private hasReplacement(
+    drain: Drain,
+    machineDrain: MachineDrain,
+    machine: MachineView,
+    turn: Turn,
+  ): boolean {
+    const state = this.replacements.advance(machineDrain, machine, turn);
+    if (state.kind === 'ready') return true;
+    if (state.kind === 'blocked') {
+      this.progress.block(drain, state.blocker, machine.id);
+      return false;
+    }
+    // Its room is needed again until another one is ready.
+    turn.requests.push({ kind: 'uncordon', machine: machine.id });
+    machineDrain.request = this.replacements.newName(turn);
+    machineDrain.replacement = null;
+    machineDrain.tries += 1;
+    machineDrain.phase = 'waiting';
+    turn.requests.push(this.store.write(this.machineWrite(drain, machineDrain)));
+    return false;
+  }
+
+  /** Lets work end, stops what saves, and asks for moves of replicas, as far as the budgets allow. */
+  private empty(drain: Drain, machineDrain: MachineDrain, machine: MachineView, turn: Turn): void {
+    const work = workOn(machine, this.settings.letEndS, turn.moment);
+    if (work.ending.length > 0) {
+      const inS = Math.ceil(work.endsInMs / 1000);
+      const blocker: Blocker = { kind: 'work-ends-by-itself', tasks: work.ending.length, inS };
+      this.progress.block(drain, blocker, machine.id);
+    }
+    if (work.stopping > 0)
+      this.progress.block(drain, { kind: 'work-stops', tasks: work.stopping }, machine.id);
+    let stops = 0;
+    for (const attempt of work.replicas) {
+      if (!this.mayDisrupt(drain, attempt, turn)) continue;
+      stops += 1;
+      const blocker: Blocker = { kind: 'replica-needs-room', job: attempt.entry.job };
+      this.progress.block(drain, blocker, machine.id);
+    }
+    for (const attempt of work.stoppable) {
+      if (!this.mayDisrupt(drain, attempt, turn)) continue;
+      stops += 1;
+      const graceS = (attempt.job?.spec.saveS ?? 0) + GRACE_MARGIN_S;
+      const { attempt: number } = attempt.entry;
+      turn.requests.push({ kind: 'stop', machine: machine.id, attempt: number, graceS });
+    }
+    if (stops > 0 && machineDrain.phase === 'cordoned')
+      this.setMachinePhase(drain, machineDrain, 'draining', turn);
+  }
+
+  private mayDisrupt(drain: Drain, attempt: AttemptView, turn: Turn): boolean {
+    const result = this.budget.request(attempt, turn.fleet, turn.moment);
+    if (result && isBlocker(result)) this.progress.block(drain, result, attempt.machine.id);
+    return this.budget.isGranted(attempt.entry.attempt);
+  }
+
+  // ---- steps -------------------------------------------------------------------------------------
+
+  stepSizeOf({ request, total }: Drain): number {
+    const { stepSize } = request;
+    if (stepSize.kind === 'count') return stepSize.count;
+    return Math.max(1, Math.floor(stepSize.share * total));
+  }
+
+  private beginStep(drain: Drain, turn: Turn): void {
+    const waiting = this.budget.voluntaryOpen;
+    if (waiting > 0) {
+      this.progress.block(drain, { kind: 'work-runs-again', tasks: waiting });
+      return;
+    }
+    const members = membersOf(drain, turn.fleet, turn.moment);
+    if (members.length === 0) {
+      this.setPhase(drain, 'done', null, turn);
+      return;
+    }
+    const chosen = this.choose(drain, members, turn);
+    if (chosen.length === 0) return;
+    drain.step += 1;
+    this.setPhase(drain, 'running', null, turn);
+    for (const machine of chosen) this.take(drain, machine, turn);
+  }
+
+  /** The machines of the next step; what keeps others from being taken is noted. */
+  private choose(drain: Drain, members: readonly MachineView[], turn: Turn): MachineView[] {
+    const free = members.filter(
+      (m) => !isGoing(m) && !m.cordoned && this.drainOf(m.id) === null && !this.isReplacement(m.id),
+    );
+    if (free.length === 0) {
+      this.progress.block(drain, { kind: 'busy-elsewhere', machines: members.length });
+      return [];
+    }
+    const chosen: MachineView[] = [];
+    const leaving = new Set<MachineId>();
+    for (const { machine } of byDisturbance(free, this.settings.letEndS, turn.moment)) {
+      if (chosen.length >= this.stepSizeOf(drain)) break;
+      if (!drain.request.replace) {
+        const blocker = headBlocker(turn.fleet, new Set([...leaving, machine.id]));
+        if (blocker) {
+          this.progress.block(drain, blocker);
+          continue;
+        }
+      }
+      chosen.push(machine);
+      leaving.add(machine.id);
+    }
+    return chosen;
+  }
+
+  private take(drain: Drain, { id }: MachineView, turn: Turn): void {
+    const { replace } = drain.request;
+    const machineDrain: MachineDrain = {
+      machine: id,
+      phase: replace ? 'waiting' : 'cordoned',
+      request: replace ? this.replacements.newName(turn) : null,
+      replacement: null,
+      tries: 1,
+    };
+    drain.current.set(id, machineDrain);
+    if (!replace) turn.requests.push({ kind: 'cordon', machine: id });
+    turn.requests.push(this.store.write(this.machineWrite(drain, machineDrain)));
+  }
+
+  // ---- records of disruptions --------------------------------------------------------------------
+
+  /** Disruptions that no record tells of yet, in as few records as hold them. */
+  private storeDisruptions(turn: Turn): void {
+    let rows: Disruption[] = [];
+    let bytes = 2;
+    const most = turn.fleet.valueBytes * RECORD_SHARE;
+    const flush = () => {
+      if (rows.length === 0) return;
+      const key = disruptionsKey(turn.fleet.term, this.nextRecord);
+      this.nextRecord += 1;
+      for (const row of rows) row.record = key;
+      this.disruptionRecords.add(key);
+      turn.requests.push(this.store.write({ key, value: writeDisruptions(rows) }));
+      rows = [];
+      bytes = 2;
+    };
+    for (const disruption of this.budget.disruptions.values()) {
+      if (disruption.record !== null) continue;
+      const size = Buffer.byteLength(JSON.stringify(writeDisruptions([disruption])));
+      if (bytes + size > most) flush();
+      rows.push(disruption);
+      bytes += size;
+    }
+    flush();
+  }
+
+  /** Records of which nothing counts any more. */
+  private dropDisruptionRecords(turn: Turn): void {
+    const live = new Set<string | null>();
+    for (const { record } of this.budget.disruptions.values()) live.add(record);
+    for (const key of this.disruptionRecords) {
+      if (live.has(key) || !this.store.isStored(key)) continue;
+      this.disruptionRecords.delete(key);
+      turn.requests.push(this.store.write({ key, value: null }));
+    }
+  }
+
+  // ---- operators ---------------------------------------------------------------------------------
+
+  /** Takes up a new drain; finished ones beyond those that are kept are forgotten. */
+  add(drain: Drain, turn: Turn): void {
+    this.all.set(drain.request.name, drain);
+    this.progress.moved(drain, turn.moment);
+    turn.requests.push(this.store.write(this.drainWrite(drain)));
+    const finished = [...this.all.values()].filter((d) => isFinished(d) && d.current.size === 0);
+    finished.sort((a, b) => a.startedAt - b.startedAt);
+    for (const { request } of finished.slice(0, Math.max(0, finished.length - KEEP_FINISHED))) {
+      this.all.delete(request.name);
+      this.progress.forget(request.name);
+      turn.requests.push(this.store.write({ key: drainKey(request.name), value: null }));
+    }
+  }
+
+  /** Puts back into use what is not on its way back to the cloud. */
+  cancel(drain: Drain, turn: Turn): void {
+    for (const { machine, phase, request } of [...drain.current.values()]) {
+      if (phase === 'returning') continue;
+      drain.current.delete(machine);
+      this.replacements.forget(request);
+      turn.requests.push({ kind: 'uncordon', machine });
+      const key = machineKey(drain.request.name, machine);
+      turn.requests.push(this.store.write({ key, value: null }));
+    }
+    this.setPhase(drain, 'cancelled', null, turn);
+  }
+
+  /** Goes on; a deadline that has passed does not hold any more. */
+  resume(drain: Drain, turn: Turn): void {
+    if (drain.deadlineAt !== null && drain.deadlineAt <= turn.moment.timeOfDay) drain.deadlineAt = null;
+    this.setPhase(drain, drain.step > 0 ? 'running' : 'pending', null, turn);
+  }
+}
--- /dev/null
+++ b/packages/drain/src/core/plan.ts
@@ -0,0 +1,53 @@
+/** A dry run: the steps that a drain would take as things stand, and what would hold each machine up. */
+import type { MachineId } from '@robinspread/extension-api';
+import type { Drains } from './drains.js';
+import { headBlocker } from './head-check.js';
+import { byDisturbance, type Disturbance, isGoing, membersOf } from './selection.js';
+import type { DrainSettings } from './settings.js';
+import type { Turn } from './turn.js';
+import { type Blocker, type Drain, describeBlocker } from './types.js';
+import { LISTED_MACHINES } from './views.js';
+
+const budgetBlockers = (drains: Drains, { work }: Disturbance, turn: Turn): Blocker[] => {
+  const blockers = new Map<string, Blocker>();
+  for (const { job } of [...work.stoppable, ...work.replicas]) {
+    const blocker = job && drains.budget.blocker(job.spec.team, job.spec.lane, turn.fleet, turn.moment);
+    if (blocker) blockers.set(describeBlocker(blocker), blocker);
+  }
+  return [...blockers.values()];
+};
+
+const blockersOf = (drains: Drains, drain: Drain, item: Disturbance, turn: Turn): Blocker[] => {
+  const blockers = budgetBlockers(drains, item, turn);
+  const { machine, work } = item;
+  if (isGoing(machine) || machine.cordoned || drains.drainOf(machine.id))
+    blockers.push({ kind: 'busy-elsewhere', machines: 1 });
+  if (work.ending.length > 0) {
+    const inS = Math.ceil(work.endsInMs / 1000);
+    blockers.push({ kind: 'work-ends-by-itself', tasks: work.ending.length, inS });
+  }
+  const head = drain.request.replace ? null : headBlocker(turn.fleet, new Set<MachineId>([machine.id]));
+  if (head) blockers.push(head);
+  return blockers;
+};
+
+/** The plan for a drain that has not been taken up. */
+export const planOf = (drains: Drains, drain: Drain, settings: DrainSettings, turn: Turn) => {
+  const members = membersOf(drain, turn.fleet, turn.moment);
+  const order = byDisturbance(members, settings.letEndS, turn.moment);
+  const size = drains.stepSizeOf(drain);
+  return {
+    machines: members.length,
+    stepSize: size,
+    steps: Math.ceil(members.length / size),
+    listed: Math.min(order.length, LISTED_MACHINES),
+    plan: order.slice(0, LISTED_MACHINES).map((item, i) => ({
+      name: item.machine.id,
+      step: Math.floor(i / size) + 1,
+      stops: item.work.stoppable.length,
+      moves: item.work.replicas.length,
+      ends: item.work.ending.length,
+      blocked: blockersOf(drains, drain, item, turn).map(describeBlocker),
+    })),
+  };
+};
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -21,20 +21,46 @@
   },
 };
 
-/** Writes the program, `main.cjs` and `bundle.cjs`, to a directory. */
+/** Optional packages, each a bundle of its own beside the program. */
+const PACKAGES = ['drain'];
+const PACKAGE = /^@robinspread\/(\w+)$/;
+
+/** The program requires a package's bundle only when it is enabled. */
+const besideProgram = {
+  name: 'beside-program',
+  setup(b) {
+    b.onResolve({ filter: PACKAGE }, (args) => ({
+      path: `./${PACKAGE.exec(args.path)[1]}.cjs`,
+      external: true,
+    }));
+  },
+};
+
+const OPTIONS = {
+  outExtension: { '.js': '.cjs' },
+  bundle: true,
+  minify: true,
+  legalComments: 'none',
+  format: 'cjs',
+  platform: 'node',
+  target: 'node20',
+  logLevel: 'warning',
+};
+
+/** Writes the program, `main.cjs`, `bundle.cjs` and one bundle for each package, to a directory. */
 export const bundle = async (directory) => {
   await build({
     entryPoints: { bundle: 'src/cli/main.ts' },
     outdir: directory,
-    outExtension: { '.js': '.cjs' },
-    bundle: true,
-    minify: true,
-    legalComments: 'none',
-    format: 'cjs',
-    platform: 'node',
-    target: 'node20',
-    plugins: [leftOut],
-    logLevel: 'warning',
+    plugins: [leftOut, besideProgram],
+    // A package is required: the program runs where no dynamic import is at hand.
+    supported: { 'dynamic-import': false },
+    ...OPTIONS,
+  });
+  await build({
+    entryPoints: Object.fromEntries(PACKAGES.map((name) => [name, `packages/${name}/src/index.ts`])),
+    outdir: directory,
+    ...OPTIONS,
   });
   await copyFile('scripts/entry.cjs', join(directory, 'main.cjs'));
 };
--- a/src/adapters/api.ts
+++ b/src/adapters/api.ts
@@ -2,6 +2,7 @@
 import { type IncomingMessage, type RequestListener, Server } from 'node:http';
 import type { Socket } from 'node:net';
 import { type Context, Hono } from 'hono';
+import type { ExtensionModule, ExtensionRoute } from '../core/extension.js';
 import type { JobId, TeamName } from '../core/types.js';
 import type { Controller } from '../service/controller.js';
 import type { Lookup } from '../service/users.js';
@@ -45,9 +46,7 @@
     });
   });
 
-const readBody = async (c: Context<NodeEnv>, limit: number): Promise<Body> => {
-  const text = await readText(c.env.incoming, limit);
-  if (text === null) return { fault: 'body too large' };
+const parseText = (text: string): Body => {
   try {
     return { json: JSON.parse(text) };
   } catch {
@@ -55,6 +54,18 @@
   }
 };
 
+const readBody = async (c: Context<NodeEnv>, limit: number): Promise<Body> => {
+  const text = await readText(c.env.incoming, limit);
+  return text === null ? { fault: 'body too large' } : parseText(text);
+};
+
+/** As `readBody`; no body at all is as good as an empty object. */
+const readOptionalBody = async (c: Context<NodeEnv>): Promise<Body> => {
+  const text = await readText(c.env.incoming, MAX_BODY);
+  if (text === null) return { fault: 'body too large' };
+  return text.trim() === '' ? { json: {} } : parseText(text);
+};
+
 /** A check-in that did not come as a plain request; see `CheckInConnection` for those that did. */
 const answerCheckIn = async (c: Context<NodeEnv>, checkIn: CheckInHandler): Promise<Response> => {
   const text = await readText(c.env.incoming, MAX_REPORT);
@@ -63,12 +74,33 @@
   return sendJson(c, body, status, status === 503 ? { 'Retry-After': RETRY_AFTER_S } : {});
 };
 
+type OperatorHandler = (
+  extension: string,
+  route: ExtensionRoute,
+) => (c: Context<NodeEnv>) => Promise<Response>;
+
+/** Serves operators' calls to extensions. */
+const makeOperatorHandler =
+  (controller: Controller): OperatorHandler =>
+  (extension, route) =>
+  async (c) => {
+    const subject = c.req.param('subject') ?? '';
+    const body = route.method === 'POST' ? await readOptionalBody(c) : { json: null };
+    if ('fault' in body) return sendJson(c, { error: body.fault }, 400);
+    const answer = await controller.operate(extension, { route: route.name, subject, body: body.json });
+    if (!answer) return later(c, 'no leader to ask');
+    const headers = answer.status === 503 ? { 'Retry-After': RETRY_AFTER_S } : {};
+    return sendJson(c, answer.body, answer.status, headers);
+  };
+
 export const makeApi = (
   controller: Controller,
   log: Log,
   checkIn: CheckInHandler = makeCheckIn(controller, log),
+  extensions: readonly ExtensionModule[] = [],
 ): Hono<NodeEnv> => {
   const app = new Hono<NodeEnv>();
+  const operatorHandler = makeOperatorHandler(controller);
 
   app.get('/up', (c) => (controller.ready() ? sendJson(c, { ok: true }) : later(c, 'starting')));
 
@@ -139,6 +171,11 @@
     return say(c, await controller.users.abort(id));
   });
 
+  for (const extension of extensions) {
+    for (const route of extension.routes)
+      app.on(route.method, route.path, operatorHandler(extension.name, route));
+  }
+
   app.notFound((c) => sendJson(c, { error: 'no such path' }, 404));
   app.onError((error, c) => {
     log.error({ err: error, path: c.req.path }, 'request failed');
@@ -225,5 +262,5 @@
 /** The whole interface of one controller. */
 export const startApi = (settings: Settings, controller: Controller, log: Log): Server => {
   const checkIn = makeCheckIn(controller, log);
-  return serveApi(settings, makeApi(controller, log, checkIn), log, checkIn);
+  return serveApi(settings, makeApi(controller, log, checkIn, controller.extensions), log, checkIn);
 };
--- a/src/adapters/peer-link.ts
+++ b/src/adapters/peer-link.ts
@@ -42,11 +42,20 @@
 const jobId = v.pipe(v.string(), v.regex(/^job-\d{1,18}$/));
 const questionSchema = v.object({
   n: v.pipe(v.number(), v.integer()),
-  ask: v.picklist(['status', 'abort', 'list', 'explain', 'health', 'admit', 'look']),
+  ask: v.picklist(['status', 'abort', 'list', 'explain', 'health', 'admit', 'look', 'operate']),
   job: v.optional(jobId),
   team: v.optional(v.pipe(v.string(), v.maxLength(200))),
   /** A job to admit, as its record holds it. */
   record: v.optional(v.unknown()),
+  /** An operator's call to an extension. */
+  extension: v.optional(v.pipe(v.string(), v.maxLength(40))),
+  call: v.optional(
+    v.object({
+      route: v.pipe(v.string(), v.maxLength(40)),
+      subject: v.pipe(v.string(), v.maxLength(200)),
+      body: v.unknown(),
+    }),
+  ),
 });
 const answerSchema = v.object({ n: v.pipe(v.number(), v.integer()), is: v.unknown() });
 
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,4 +1,5 @@
 import { Command } from 'commander';
+import type { Files } from './load.js';
 
 const build = (): Command => {
   const program = new Command('robinspread').description('cluster scheduler service').version('0.1.0');
@@ -8,7 +9,8 @@
     .description('run one controller')
     .requiredOption('--config <file>', "the platform's settings (JSON)")
     .option('--policy <file>', "the operators' policy (S-expressions)")
-    .action(async (options: { config: string; policy?: string }) => {
+    .option('--enable <file...>', 'enable the optional packages of these files (S-expressions)')
+    .action(async (options: Files) => {
       const { serve } = await import('./serve.js');
       await serve(options);
     });
@@ -18,9 +20,10 @@
     .description('check a settings file and a policy file')
     .requiredOption('--config <file>', "the platform's settings (JSON)")
     .option('--policy <file>', "the operators' policy (S-expressions)")
-    .action(async (options: { config: string; policy?: string }) => {
+    .option('--enable <file...>', 'enable the optional packages of these files (S-expressions)')
+    .action(async (options: Files) => {
       const { checkConfig } = await import('./check-config.js');
-      checkConfig(options);
+      await checkConfig(options);
     });
 
   program
@@ -46,7 +49,14 @@
 };
 
 export const run = async (argv: readonly string[]): Promise<void> => {
-  await build().parseAsync(argv);
+  const program = build();
+  const { loadPackage } = await import('./extensions.js');
+  const optional = await loadPackage(argv[2]);
+  if (optional) {
+    const { commandTools } = await import('./command-tools.js');
+    optional.addCommands(program, commandTools);
+  }
+  await program.parseAsync(argv);
 };
 
 /** For the build: loads what `serve` needs, so that its compiled code can be kept. */
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -6,14 +6,14 @@
 import { type Files, loadFiles } from './load.js';
 
 export const serve = async (files: Files): Promise<void> => {
-  const { settings, policy } = loadFiles(files);
+  const { settings, policy, extensions } = await loadFiles(files);
   const log = makeLog(settings.node);
   process.on('uncaughtException', (error) => {
     log.error({ err: error }, 'uncaught');
     process.exit(1);
   });
   const jitter = new Jitter((Date.now() ^ (process.pid << 8)) | 0);
-  const controller = new Controller(settings, policy, log, jitter);
+  const controller = new Controller(settings, policy, log, jitter, extensions);
   startApi(settings, controller, log);
   const dropped = new Once();
   servePeers(
--- /dev/null
+++ b/src/core/extension.ts
@@ -0,0 +1,211 @@
+/**
+ * The interface between the core and optional packages. An extension sees what happens in the fleet and may ask for a
+ * few things; it runs inside the owner's queue, as pure as the core itself. It knows nothing of the core but these types.
+ */
+import type {
+  Attempt,
+  ImageName,
+  Instant,
+  JobId,
+  JobSpec,
+  LedgerEntry,
+  MachineId,
+  MachineType,
+  Millis,
+  RequestName,
+  TaskIndex,
+  Team,
+  TeamName,
+  Term,
+  Ticket,
+  TypeName,
+  ZoneName,
+} from './types.js';
+
+/** What is known of an attempt; phases as in the core's placements. */
+export interface AttemptView {
+  readonly entry: LedgerEntry;
+  readonly machine: MachineView;
+  /** null when its job is over or unknown. */
+  readonly job: JobView | null;
+  readonly phase: 'recorded' | 'entering' | 'offered' | 'fetching' | 'running' | 'saving' | 'ended';
+  readonly startedAt: Instant | null;
+  /** It has been told to stop, or will be. */
+  readonly kill: { readonly graceS: number } | null;
+  /** Its task was done by another attempt. */
+  readonly superseded: boolean;
+}
+
+/** An unfinished job. */
+export interface JobView {
+  readonly spec: JobSpec;
+  /** Tasks that wait for a machine. */
+  readonly pending: number;
+  /** Attempts that may be on a machine, by task. */
+  readonly held: ReadonlyMap<TaskIndex, readonly AttemptView[]>;
+  readonly final: 'none' | 'done' | 'cancelled';
+}
+
+/** A rented machine. */
+export interface MachineView {
+  readonly id: MachineId;
+  readonly type: TypeName;
+  readonly zone: ZoneName;
+  readonly spot: boolean;
+  readonly rentedAt: Instant;
+  /** It has reported and obeys this leader's term. */
+  readonly ready: boolean;
+  readonly everSeen: boolean;
+  readonly lastSeen: Instant;
+  /** Since when it counts as lost. */
+  readonly lostAt: Instant | null;
+  /** When the cloud takes it away. */
+  readonly noticeUntil: Instant | null;
+  /** It gets no more work and is returned once it is empty. */
+  readonly draining: boolean;
+  /** Its return has been asked for. */
+  readonly deleting: boolean;
+  /** An extension keeps it from new work. */
+  readonly cordoned: boolean;
+  readonly idleSince: Instant;
+  /** Attempts that may be on it, and ended ones that it still holds. */
+  readonly placements: ReadonlyMap<Attempt, AttemptView>;
+  readonly images: ReadonlySet<ImageName>;
+}
+
+/** A kind of machine that the cloud rents out. */
+export interface RentalKind {
+  readonly type: MachineType;
+  readonly zone: ZoneName;
+  readonly spot: boolean;
+  /** Refusals since the cloud last filled a request. */
+  readonly refusals: number;
+}
+
+/** The fleet as the leader knows it. Extensions only read it. */
+export interface FleetView {
+  readonly term: Term;
+  readonly reportMs: Millis;
+  /** What a value of the state service may hold. */
+  readonly valueBytes: number;
+  /** Boot times after which a machine that is not up is given up. */
+  readonly bootGiveUp: number;
+  readonly machines: ReadonlyMap<MachineId, MachineView>;
+  readonly jobs: ReadonlyMap<JobId, JobView>;
+  readonly types: ReadonlyMap<TypeName, MachineType>;
+  readonly teams: ReadonlyMap<TeamName, Team>;
+  readonly rentalKinds: ReadonlyMap<string, RentalKind>;
+  /** The job at the head of the queue, for which room is reserved. */
+  readonly head: JobId | null;
+  /** Every machine has had the time to report to this leader, and the cloud's list has been read. */
+  readonly settled: boolean;
+  isDone(job: JobId, index: TaskIndex): boolean;
+}
+
+/** This moment, on the steady clock and by the time of day. */
+export interface Moment {
+  readonly now: Instant;
+  /** Milliseconds since the epoch, within the platform's bound of clocks. */
+  readonly timeOfDay: number;
+}
+
+/** A record of the extension in the state service. The key is relative to the extension's own prefix. */
+export interface ExtensionRecord {
+  readonly key: string;
+  readonly value: unknown;
+}
+
+/** One change of a record; a null value deletes it. */
+export interface RecordWrite {
+  readonly key: string;
+  readonly value: unknown;
+}
+
+/** What an extension is told. */
+export type ExtensionEvent =
+  /**
+   * An attempt is certainly not on its machine any more. `gone`: its machine, session or lease ended, and not the task by
+   * itself. Sent before the core forgets it.
+   */
+  | { readonly kind: 'released'; readonly attempt: AttemptView; readonly how: 'reported' | 'gone' }
+  | {
+      readonly kind: 'rented';
+      readonly request: RequestName;
+      readonly result: 'ok' | 'refused' | 'unknown';
+      readonly machines: readonly MachineId[];
+    }
+  /** Writes of one request are stored, or refused by the state service in any size. */
+  | { readonly kind: 'stored' | 'refused'; readonly writes: readonly RecordWrite[] };
+
+/** What an extension asks of the core. */
+export type ExtensionRequest =
+  | { readonly kind: 'cordon' | 'uncordon'; readonly machine: MachineId }
+  /** Stops an attempt; with grace enough for saving, a task that saves does so. */
+  | { readonly kind: 'stop'; readonly machine: MachineId; readonly attempt: Attempt; readonly graceS: number }
+  /** Returns a machine to the cloud once nothing is on it; cannot be taken back. */
+  | { readonly kind: 'return'; readonly machine: MachineId }
+  | {
+      readonly kind: 'rent';
+      readonly request: RequestName;
+      readonly type: TypeName;
+      readonly zone: ZoneName;
+      readonly spot: boolean;
+      readonly count: number;
+    }
+  /** Changes that are stored together or not at all; no more than `MOST_WRITES_TOGETHER`. */
+  | { readonly kind: 'write'; readonly writes: readonly RecordWrite[] }
+  | { readonly kind: 'answer'; readonly ticket: Ticket; readonly answer: OperatorAnswer }
+  | {
+      readonly kind: 'log';
+      readonly level: 'info' | 'debug';
+      readonly text: string;
+      readonly fields: Record<string, unknown>;
+    };
+
+/** As many changes as the smallest transaction of any known deployment holds. */
+export const MOST_WRITES_TOGETHER = 3;
+
+/** A call of an operator: which of the extension's routes, its parameter and its body. */
+export interface OperatorCall {
+  readonly route: string;
+  readonly subject: string;
+  readonly body: unknown;
+}
+
+/** The answer to a call, as HTTP carries it. */
+export interface OperatorAnswer {
+  readonly status: number;
+  readonly body: object;
+}
+
+/** The decisions of an optional package, for one term of leadership. */
+export interface Extension {
+  readonly name: string;
+  /** What the state service holds under its prefix, read when the term begins; null for what cannot be read. */
+  load(records: readonly ExtensionRecord[], moment: Moment): void;
+  observe(event: ExtensionEvent, moment: Moment): void;
+  /** Called about twice a second while this node leads, and whenever something came in for the extension. */
+  decide(fleet: FleetView, moment: Moment): readonly ExtensionRequest[];
+  /** Answers a call: at once, or by an `answer` request later when it returns null. */
+  call(call: OperatorCall, ticket: Ticket, fleet: FleetView, moment: Moment): OperatorAnswer | null;
+  /** Whether a machine on which nothing runs may be returned for lack of work. */
+  mayReturn(machine: MachineView): boolean;
+  /** Whether a replica may be stopped on a machine that leaves by the daemon's own decision. */
+  mayMove(attempt: AttemptView): boolean;
+}
+
+/** An HTTP route that an extension serves. */
+export interface ExtensionRoute {
+  readonly name: string;
+  readonly method: 'GET' | 'POST';
+  /** In Hono's form; at most one parameter, `:subject`. */
+  readonly path: string;
+}
+
+/** What an enabled package gives the daemon. */
+export interface ExtensionModule {
+  readonly name: string;
+  readonly routes: readonly ExtensionRoute[];
+  /** A new one for each term of leadership. */
+  create(): Extension;
+}
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -62,7 +62,7 @@
 };
 
 const counted = (m: Machine): boolean =>
-  !m.draining && !m.deaf && !m.deleting && m.lostAt === null && m.noticeUntil === null;
+  !m.draining && !m.cordoned && !m.deaf && !m.deleting && m.lostAt === null && m.noticeUntil === null;
 
 export const rented = (
   state: CoreState,
@@ -71,6 +71,7 @@
   ids: readonly MachineId[],
   now: Instant,
 ): void => {
+  if (state.extensions?.rented({ kind: 'rented', request, result, machines: ids })) return;
   for (const option of state.options.values()) {
     const asked = option.outstanding.get(request)?.count;
     if (asked === undefined) continue;
@@ -404,6 +405,7 @@
     if (now - m.idleSince < state.config.policy.idleReturnS * 1000) continue;
     const cpus = state.types.get(m.type)?.cpus ?? 0;
     if (cpus > spare || (!m.spot && cpus > ordinary)) continue;
+    if (state.extensions && !state.extensions.mayReturn(m)) continue;
     spare -= cpus;
     if (!m.spot) ordinary -= cpus;
     m.draining = true;
--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -1,5 +1,6 @@
 /** The placement ledger and all else that the leader stores, in batches; and its reading by a new leader. */
 
+import { MOST_WRITES_TOGETHER } from './extension.js';
 import { finishSaved } from './jobs.js';
 import { adopt, ensureMachine } from './reports.js';
 import {
@@ -149,6 +150,24 @@
   }
 };
 
+/** Of the changes of a batch, how many extensions may make: starts and ends wait for no more. */
+const EXTENSION_SHARE = 0.25;
+
+/** Adds what extensions want stored, as far as there is room; returns how many changes that makes. */
+const takeExtensionWrites = (state: CoreState, batch: Batch, ops: SaveOp[], room: number): number => {
+  const waiting = state.extensions?.writes;
+  if (!waiting || waiting.length === 0) return 0;
+  const most = Math.max(MOST_WRITES_TOGETHER, Math.floor(room * EXTENSION_SHARE));
+  let changes = 0;
+  while (waiting.length > 0 && changes + waiting[0]!.writes.length <= most) {
+    const next = waiting.shift()!;
+    changes += next.writes.length;
+    batch.extensionWrites.push(next);
+    ops.push({ kind: 'extension', ...next });
+  }
+  return changes;
+};
+
 /** Gathers one batch; the next waits until this one is known to be stored. */
 export const nextBatch = (state: CoreState, now: Instant, effects: Effect[]): void => {
   if (state.batch) return;
@@ -158,7 +177,7 @@
     Math.max(LEAST_BATCH_CHANGES, Math.ceil(writeRps * BATCH_S)),
   );
   const ops: SaveOp[] = [];
-  const batch: Batch = { id: state.nextBatch, entered: [], chunks: [], finals: [] };
+  const batch: Batch = { id: state.nextBatch, entered: [], chunks: [], finals: [], extensionWrites: [] };
   let changes = 0;
   let bytes = 0;
   for (const job of state.dirtyFinals) {
@@ -231,6 +250,7 @@
       changes += 1;
     }
   }
+  changes += takeExtensionWrites(state, batch, ops, most - changes);
   for (const { segment, machines, progress } of drafts) {
     const rows = [...machines.values()].map((m) => m.row);
     ops.push({ kind: 'segment', key: segment.key, machines: rows, progress });
@@ -262,6 +282,11 @@
     release(state, p, now);
     p.machine.placements.delete(p.entry.attempt);
   }
+  for (const op of refused) {
+    if (op.kind !== 'extension') continue;
+    batch.extensionWrites = batch.extensionWrites.filter(({ writes }) => writes !== op.writes);
+    state.extensions?.stored(op, 'refused');
+  }
   batch.chunks = batch.chunks.filter(({ job }) => !jobs.has(job.spec.id));
   batch.finals = batch.finals.filter((job) => !jobs.has(job.spec.id));
 };
@@ -284,6 +309,7 @@
     const c = job.chunks.get(chunk);
     if (c) c.saved = Math.max(c.saved, version);
   }
+  for (const writes of batch.extensionWrites) state.extensions?.stored(writes, 'stored');
   for (const job of batch.finals) finishSaved(state, job, now, effects);
 };
 
--- a/src/core/reports.ts
+++ b/src/core/reports.ts
@@ -158,7 +158,7 @@
       saved: task.saved,
     });
   }
-  release(state, p, now);
+  release(state, p, now, 'reported');
 };
 
 /**
--- a/src/core/services.ts
+++ b/src/core/services.ts
@@ -21,7 +21,7 @@
 
 /** The machine is about to go: replicas on it move. */
 export const isLeaving = (m: Machine): boolean =>
-  (m.noticeUntil !== null || m.draining) && m.lostAt === null && !m.deleting;
+  (m.noticeUntil !== null || m.draining || m.cordoned) && m.lostAt === null && !m.deleting;
 
 /** A replica that keeps its machine from going, or will when it is told to. */
 export const isReplica = (p: Placement): boolean =>
@@ -188,7 +188,11 @@
   for (const m of state.machines.values()) {
     if (!isLeaving(m)) continue;
     for (const p of m.placements.values()) {
-      if (isReplica(p) && now >= p.job!.retryAt && !failsEverywhere(p.job!)) leaving.push(p);
+      if (!isReplica(p) || now < p.job!.retryAt || failsEverywhere(p.job!)) continue;
+      // A notice leaves no choice; all other moves need the extensions' consent.
+      const voluntary = m.noticeUntil === null && p.kill === null;
+      if (voluntary && state.extensions && !state.extensions.mayMove(p)) continue;
+      leaving.push(p);
     }
   }
   return leaving;
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -1,4 +1,5 @@
 /** What the leader knows: jobs, machines and the attempts that may be on them. */
+import type { ExtensionHost, ExtensionWrites } from './extension-host.js';
 import {
   type Attempt,
   type ImageName,
@@ -58,6 +59,8 @@
   readonly valueBytes: number;
   /** Attempts that one machine may hold at a time: its reports must stay readable. */
   readonly maxPerMachine: number;
+  /** The time of day, in milliseconds, when the steady clock stood at 0. */
+  readonly timeOfDayOffsetMs: number;
 }
 
 /**
@@ -167,6 +170,8 @@
   noticeUntil: Instant | null;
   draining: boolean;
   deleting: boolean;
+  /** An extension keeps it from new work. */
+  cordoned: boolean;
   deleteAfter: Instant;
   readonly placements: Map<Attempt, Placement>;
   /** Attempts that may be on it. */
@@ -210,10 +215,13 @@
   readonly entered: Placement[];
   chunks: { job: Job; chunk: number; version: number }[];
   finals: Job[];
+  extensionWrites: ExtensionWrites[];
 }
 
 export interface CoreState {
   readonly config: CoreConfig;
+  /** null where no extension is enabled. */
+  extensions: ExtensionHost | null;
   loaded: boolean;
   placeFrom: Instant;
   readonly jobs: Map<JobId, Job>;
@@ -260,6 +268,7 @@
 
 export const createCore = (config: CoreConfig): CoreState => ({
   config,
+  extensions: null,
   loaded: false,
   placeFrom: Number.POSITIVE_INFINITY as Instant,
   jobs: new Map(),
@@ -442,10 +451,19 @@
   }
 };
 
-/** The attempt is certainly not on its machine any more: gives back what it held. */
-export const release = (state: CoreState, p: Placement, now: Instant): void => {
+/**
+ * The attempt is certainly not on its machine any more: gives back what it held. `reported`: it has ended by itself or
+ * by a command, as its machine says.
+ */
+export const release = (
+  state: CoreState,
+  p: Placement,
+  now: Instant,
+  how: 'reported' | 'gone' = 'gone',
+): void => {
   const { entry, machine, job } = p;
   if (!occupies(p.phase)) return;
+  state.extensions?.observe({ kind: 'released', attempt: p, how });
   p.phase = 'ended';
   state.toEnter.delete(p);
   leaveSegment(state, p);
@@ -506,6 +524,7 @@
   noticeUntil: null,
   draining: false,
   deleting: false,
+  cordoned: false,
   deleteAfter: 0 as Instant,
   placements: new Map(),
   occupied: 0,
@@ -540,6 +559,7 @@
   !m.deaf &&
   now >= m.shunUntil &&
   !m.draining &&
+  !m.cordoned &&
   !m.deleting &&
   m.lostAt === null &&
   m.noticeUntil === null &&
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -53,6 +53,12 @@
       return rented(state, command.request, command.result, command.machines, now);
     case 'deleted':
       return deleted(state, command.machines, command.ok, now);
+    case 'extension-records':
+      state.extensions?.load(command.extension, command.records);
+      return;
+    case 'operator-call':
+      state.extensions?.call(command.extension, command.call, command.ticket);
+      return;
     case 'tick':
       return;
   }
@@ -73,9 +79,12 @@
   authority: Authority,
 ): Effect[] => {
   const effects: Effect[] = [];
+  state.extensions?.begin(now);
   for (const command of commands) apply(state, command, now, effects);
   if (authority === 'lead' && state.loaded) {
-    if (now - state.lastTick >= TICK_MS) {
+    const tickDue = now - state.lastTick >= TICK_MS;
+    state.extensions?.decide(tickDue);
+    if (tickDue) {
       state.lastTick = now;
       effects.push(...manageFleet(state, now));
       for (const m of state.machines.values()) sendKills(m, effects, now);
@@ -98,5 +107,6 @@
     for (const m of state.machines.values()) sendKills(m, effects, now, ofEndedJob);
   }
   answerTickets(state, now, authority, effects);
+  if (state.extensions) effects.push(...state.extensions.takeEffects());
   return effects;
 };
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -1,5 +1,7 @@
 /** Small types of their own for ids, versions and times, and the records the core works on. */
 
+import type { ExtensionRecord, OperatorAnswer, OperatorCall, RecordWrite } from './extension.js';
+
 declare const brand: unique symbol;
 type Branded<T, B extends string> = T & { readonly [brand]: B };
 
@@ -179,6 +181,8 @@
       readonly progress: readonly ProgressRow[];
     }
   | { readonly kind: 'segment-gone'; readonly key: SegmentKey }
+  /** Records of an extension, stored together. */
+  | { readonly kind: 'extension'; readonly extension: string; readonly writes: readonly RecordWrite[] }
   | {
       readonly kind: 'final';
       readonly job: JobId;
@@ -242,6 +246,17 @@
       readonly machines: readonly MachineId[];
     }
   | { readonly kind: 'deleted'; readonly machines: readonly MachineId[]; readonly ok: boolean }
+  | {
+      readonly kind: 'extension-records';
+      readonly extension: string;
+      readonly records: readonly ExtensionRecord[];
+    }
+  | {
+      readonly kind: 'operator-call';
+      readonly extension: string;
+      readonly call: OperatorCall;
+      readonly ticket: Ticket;
+    }
   | { readonly kind: 'tick' };
 
 export type Effect =
@@ -264,6 +279,7 @@
       readonly count: number;
     }
   | { readonly kind: 'delete'; readonly machines: readonly MachineId[] }
+  | { readonly kind: 'operator-answer'; readonly ticket: Ticket; readonly answer: OperatorAnswer }
   | {
       readonly kind: 'orders';
       readonly machine: MachineId;
--- a/src/service/controller.ts
+++ b/src/service/controller.ts
@@ -7,6 +7,7 @@
 import type { Settings } from '../adapters/settings.js';
 import { StateClient } from '../adapters/state-client.js';
 import { WorkerClient } from '../adapters/worker-client.js';
+import type { ExtensionModule, OperatorAnswer, OperatorCall } from '../core/extension.js';
 import type {
   Authority,
   Instant,
@@ -24,6 +25,7 @@
 import { Election } from './election.js';
 import { Gossip } from './gossip.js';
 import { BATCH_WRITES, Leadership } from './leadership.js';
+import { readOperatorAnswer } from './operators.js';
 import { readJob, readTypes, TYPES_KEY } from './records.js';
 import { Users } from './users.js';
 
@@ -34,6 +36,8 @@
 const BATCH_READS = 0.3;
 const READS_OF_ALL = 0.7;
 const ADMISSIONS_OF_ALL = 1.25;
+/** An operator's call waits for what it asks for to be stored. */
+const OPERATE_MS = 4000;
 /** Of all sockets, how many direct orders may use at a time. */
 const ORDER_SOCKETS = 0.08;
 
@@ -45,7 +49,13 @@
   private leading: Leadership | null = null;
   private stopped = false;
 
-  constructor(settings: Settings, policy: Policy, log: Log, jitter: Jitter) {
+  constructor(
+    settings: Settings,
+    policy: Policy,
+    log: Log,
+    jitter: Jitter,
+    readonly extensions: readonly ExtensionModule[] = [],
+  ) {
     const { rps, writeRps, nextRps, nextWriteRps } = settings.stateLimits;
     const nodes = settings.peers.length + 1;
     const share = (reads: number, writes: number) => ({
@@ -72,6 +82,7 @@
       cloud: new CloudClient(settings.cloud, settings.cloudLimits.rps, onOdd('cloud')),
       workers: new WorkerClient(orderSockets),
       peers: new Map(settings.peers.map((peer) => [peer.node, new Peer(peer.node, peer.at)])),
+      extensions,
       types: null,
       spawn: (name, work) => this.spawn(name, work),
     };
@@ -186,6 +197,19 @@
     return orders ? { kind: 'orders', term: leading.term, orders } : { kind: 'later' };
   }
 
+  /** Answers an operator's call to an extension: here when this node leads, else by the leader; null when neither can. */
+  async operate(extension: string, call: OperatorCall): Promise<OperatorAnswer | null> {
+    if (this.leading) return this.leading.operate(extension, call);
+    const answer = await this.users.leaderPeer()?.ask({ ask: 'operate', extension, call }, OPERATE_MS);
+    return readOperatorAnswer(answer);
+  }
+
+  /** A peer's question on behalf of an operator. It is never passed on a second time. */
+  private operateHere({ extension, call }: Question): Promise<OperatorAnswer | null> | null {
+    if (!this.leading || extension === undefined || call === undefined) return null;
+    return this.leading.operate(extension, call);
+  }
+
   async respond(question: Question): Promise<unknown> {
     const job = question.job as JobId | undefined;
     switch (question.ask) {
@@ -197,6 +221,8 @@
         return job ? this.users.explainHere(job) : null;
       case 'list':
         return question.team ? this.users.listHere(question.team as TeamName) : null;
+      case 'operate':
+        return this.operateHere(question);
       case 'health':
         return this.gossip.health();
       case 'look':
--- a/src/service/dependencies.ts
+++ b/src/service/dependencies.ts
@@ -6,6 +6,7 @@
 import type { Settings } from '../adapters/settings.js';
 import type { StateClient } from '../adapters/state-client.js';
 import type { WorkerClient } from '../adapters/worker-client.js';
+import type { ExtensionModule } from '../core/extension.js';
 import type { MachineType, NodeId, Policy } from '../core/types.js';
 
 export interface Dependencies {
@@ -19,6 +20,8 @@
   readonly cloud: CloudClient;
   readonly workers: WorkerClient;
   readonly peers: ReadonlyMap<NodeId, Peer>;
+  /** Optional packages that are enabled. */
+  readonly extensions: readonly ExtensionModule[];
   /** null until they are known. */
   types: readonly MachineType[] | null;
   /** Work that goes on by itself; should it fail, the process ends. */
--- a/src/service/leadership.ts
+++ b/src/service/leadership.ts
@@ -1,5 +1,7 @@
 /** One term of leadership: the takeover, what the leader watches, and what its decisions set in motion. */
 import { fromTimeOfDay, sleep, steadyNow } from '../adapters/clock.js';
+import type { ExtensionRecord, OperatorAnswer, OperatorCall } from '../core/extension.js';
+import { ExtensionHost } from '../core/extension-host.js';
 import { keepAliveFor } from '../core/leases.js';
 import { createCore } from '../core/state.js';
 import {
@@ -24,6 +26,7 @@
 import { Owner } from './owner.js';
 import { Persister } from './persister.js';
 import {
+  extensionPrefix,
   type FinalRecord,
   JOBS,
   type JobRecord,
@@ -40,6 +43,8 @@
 /** A worker gives an answer up after 4 s. */
 const TICKET_MS = 3700;
 const ABORT_MS = 2700;
+/** Within which an operator's call is answered: what it asks for is stored first. */
+const OPERATE_MS = 3500;
 const LIST_EVERY_MS = 4000;
 const TYPES_EVERY_MS = 60_000;
 /** Admissions are counted over this long. */
@@ -60,6 +65,7 @@
   readonly owner: Owner;
   private readonly persister: Persister;
   private readonly answers = new Map<Ticket, (orders: readonly Order[] | null) => void>();
+  private readonly operatorCalls = new Map<Ticket, (answer: OperatorAnswer | null) => void>();
   private readonly aborts = new Map<Ticket, (outcome: Outcome | null | 'late') => void>();
   /** Workers turned away while this node was cut off from all but them, and when. */
   private readonly released = new Map<MachineId, number>();
@@ -91,7 +97,14 @@
       writeRps: stateLimits.nextWriteRps,
       valueBytes: stateLimits.valueBytes,
       maxPerMachine: MAX_PER_MACHINE,
+      timeOfDayOffsetMs: Date.now() - steadyNow(),
     });
+    if (parts.extensions.length > 0) {
+      core.extensions = new ExtensionHost(
+        core,
+        parts.extensions.map((module) => module.create()),
+      );
+    }
     this.owner = new Owner(
       core,
       () => this.authority(),
@@ -114,6 +127,8 @@
     this.answers.clear();
     for (const resolve of this.aborts.values()) resolve('late');
     this.aborts.clear();
+    for (const resolve of this.operatorCalls.values()) resolve(null);
+    this.operatorCalls.clear();
   }
 
   authority(): Authority {
@@ -158,6 +173,11 @@
     }
     // What is done first: an attempt of a task that is done needs no second look.
     commands.push(...entered);
+    for (const { name } of this.parts.extensions) {
+      const records = await this.readExtension(name);
+      if (!records) return;
+      commands.push({ kind: 'extension-records', extension: name, records });
+    }
     commands.push({ kind: 'loaded' });
     this.parts.log.info({ jobs: jobs.items.length, records: ledger.items.length }, 'took over');
     this.owner.start(commands);
@@ -166,6 +186,16 @@
     this.parts.spawn('machines', () => this.watchMachines());
   }
 
+  private async readExtension(name: string): Promise<ExtensionRecord[] | null> {
+    const prefix = extensionPrefix(name);
+    const stored = await this.readAll(prefix);
+    if (!stored || !this.current) return null;
+    return stored.items.map(({ key, value, revision }) => {
+      this.persister.stamps.set(key, revision);
+      return { key: key.slice(prefix.length), value };
+    });
+  }
+
   private jobFrom(key: string, value: unknown, revision: Revision, out: Command[]): void {
     const record = readJob(value);
     if (!record || key !== jobKey(record.spec.id)) {
@@ -268,6 +298,12 @@
         resolve?.(effect.orders);
         return;
       }
+      case 'operator-answer': {
+        const resolve = this.operatorCalls.get(effect.ticket);
+        this.operatorCalls.delete(effect.ticket);
+        resolve?.(effect.answer);
+        return;
+      }
       case 'settled': {
         const resolve = this.aborts.get(effect.ticket);
         this.aborts.delete(effect.ticket);
@@ -379,6 +415,25 @@
     return known >= 2 && recent * 3 < known ? { recent, known } : null;
   }
 
+  // ---- operators ---------------------------------------------------------------------------------
+
+  /** An extension's answer to a call, or null when none comes in time. */
+  operate(extension: string, call: OperatorCall): Promise<OperatorAnswer | null> {
+    if (this.authority() !== 'lead') return Promise.resolve(null);
+    const ticket = this.nextTicket++ as Ticket;
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => {
+        this.operatorCalls.delete(ticket);
+        resolve(null);
+      }, OPERATE_MS);
+      this.operatorCalls.set(ticket, (answer) => {
+        clearTimeout(timer);
+        resolve(answer);
+      });
+      this.owner.submit({ kind: 'operator-call', extension, call, ticket });
+    });
+  }
+
   // ---- users -------------------------------------------------------------------------------------
 
   /** How an abort ended: the job's final state, null when the job is not known here, or 'late'. */
--- a/src/service/persister.ts
+++ b/src/service/persister.ts
@@ -3,8 +3,9 @@
 import type { Log } from '../adapters/log.js';
 import type { Jitter } from '../adapters/random.js';
 import type { Guard, StateClient, Write } from '../adapters/state-client.js';
+import type { RecordWrite } from '../core/extension.js';
 import type { Revision, SaveOp, SegmentKey, Term } from '../core/types.js';
-import { finalKey, jobKey, LEADER_KEY, writeFinal, writeSegment } from './records.js';
+import { extensionKey, finalKey, jobKey, LEADER_KEY, writeFinal, writeSegment } from './records.js';
 
 const NONE = 0 as Revision;
 
@@ -74,6 +75,13 @@
     this.stopped = true;
   }
 
+  /** null for a deletion of what is not there. */
+  private extensionWrite(extension: string, { key, value }: RecordWrite): Write | null {
+    const stored = extensionKey(extension, key);
+    if (value !== null) return { put: stored, value };
+    return this.stamps.has(stored) ? { del: stored } : null;
+  }
+
   /** What must be written together; each unit may be written apart from the others, in their order. */
   private unitsOf(ops: readonly SaveOp[]): Unit[] {
     const units: Unit[] = [];
@@ -81,6 +89,10 @@
       if (op.kind === 'final') {
         const writes: Write[] = [{ put: finalKey(op.job), value: writeFinal(op) }, { del: jobKey(op.job) }];
         units.push({ op, writes });
+      } else if (op.kind === 'extension') {
+        const writes = op.writes.map((write) => this.extensionWrite(op.extension, write));
+        const changes = writes.filter((write) => write !== null);
+        if (changes.length > 0) units.push({ op, writes: changes });
       } else if (op.kind === 'segment') {
         units.push({ op, writes: [{ put: op.key, value: writeSegment(op) }] });
       } else {
--- a/src/service/records.ts
+++ b/src/service/records.ts
@@ -1,5 +1,6 @@
 /** What the state service holds, and under which keys. Every record read back is checked. */
 import * as v from 'valibot';
+import { EXTENSIONS } from '../core/extension-host.js';
 import { BLOCK_TASKS, SEGMENTS } from '../core/state.js';
 import type {
   Attempt,
@@ -27,6 +28,10 @@
 /** Where the first version kept its ledger, a key for each machine: what stands there is taken as unreadable. */
 export const OLD_LEDGER = 'm/';
 
+/** Each extension's records stand under a prefix of its own; versions without the extension never look there. */
+export const extensionPrefix = (extension: string): string => `${EXTENSIONS}${extension}/`;
+export const extensionKey = (extension: string, key: string): string => extensionPrefix(extension) + key;
+
 export const jobKey = (id: JobId): string => `${JOBS}${id}`;
 export const finalKey = (id: JobId): string => `${FINALS}${id}`;
 
--- a/test/model/build.ts
+++ b/test/model/build.ts
@@ -83,6 +83,7 @@
     writeRps: 100,
     valueBytes: 8192,
     maxPerMachine: 64,
+    timeOfDayOffsetMs: 0,
     ...change,
   });
 
--- a/test/model/simulated-world.ts
+++ b/test/model/simulated-world.ts
@@ -101,6 +101,8 @@
   finals: Map<string, string>;
   /** Ledger records as the text that the state service would hold. */
   ledger: Map<SegmentKey, string>;
+  /** Records of extensions, likewise. */
+  records: Map<string, string>;
   term: number;
 }
 
@@ -129,6 +131,7 @@
     jobs: new Map(),
     finals: new Map(),
     ledger: new Map(),
+    records: new Map(),
     term: 10,
   };
   private readonly workers = new Map<string, Worker>();
@@ -443,6 +446,8 @@
       this.store.ledger.set(op.key, text);
     } else if (op.kind === 'segment-gone') {
       if (!this.store.ledger.delete(op.key)) this.problems.push(`record dropped twice ${op.key}`);
+    } else if (op.kind === 'extension') {
+      for (const { key, value } of op.writes) this.writeRecord(`${op.extension}/${key}`, value);
     } else {
       const before = this.store.finals.get(op.job);
       if (before && before !== op.outcome) this.problems.push(`went_back ${op.job}`);
@@ -457,6 +462,16 @@
     }
   }
 
+  private writeRecord(key: string, value: unknown): void {
+    if (value === null) {
+      this.store.records.delete(key);
+      return;
+    }
+    const text = JSON.stringify(value);
+    if (text.length > NEXT.valueBytes) this.problems.push(`record ${key} of ${text.length} bytes`);
+    this.store.records.set(key, text);
+  }
+
   // ---- workers -----------------------------------------------------------------------------------
 
   private takeAway(id: string): void {
