--- a/packages/drain/src/core/budget.ts
+++ b/packages/drain/src/core/budget.ts
@@ -81,10 +81,10 @@
       const limits = this.settings.defaultBudget;
       return limits ? [{ name: `team ${team}`, team, lane: null, limits }] : [];
     }
-    const scopes: Scope[] = [{ name: `team ${team}`, team, lane: null, limits: budget.limits }];
+    const whole: Scope = { name: `team ${team}`, team, lane: null, limits: budget.limits };
     const limits = budget.classes.get(lane);
-    if (limits) scopes.push({ name: `team ${team} class ${lane}`, team, lane, limits });
-    return scopes;
+    // The narrower one first: it says more about what holds work up.
+    return limits ? [{ name: `team ${team} class ${lane}`, team, lane, limits }, whole] : [whole];
   }
 
   /** How much of a scope is in use. */
--- a/packages/drain/src/core/drains.ts
+++ b/packages/drain/src/core/drains.ts
@@ -13,7 +13,7 @@
   RecordWrite,
 } from '@robinspread/extension-api';
 import { BudgetLedger, type Disruption } from './budget.js';
-import { headBlocker } from './head-check.js';
+import { HeadGuard } from './head-check.js';
 import { Progress } from './progress.js';
 import { RecordStore } from './record-store.js';
 import {
@@ -26,7 +26,7 @@
   writeMachine,
 } from './records.js';
 import { Replacements } from './replacements.js';
-import { byDisturbance, isGoing, membersOf, workOn } from './selection.js';
+import { byDisturbance, isBeingLost, isGoing, membersOf, workOn } from './selection.js';
 import type { DrainSettings } from './settings.js';
 import type { Turn } from './turn.js';
 import type { Blocker, Drain, DrainName, MachineDrain } from './types.js';
@@ -35,6 +35,10 @@
 const GRACE_MARGIN_S = 5;
 /** Finished drains whose end can still be asked for. */
 const KEEP_FINISHED = 50;
+/** How often notices are looked for; events tell of what they end. */
+const SCAN_MS = 500;
+/** Where no machine could be taken, the fleet is looked through again after this long. */
+const STEP_RETRY_MS = 2000;
 /** Of a value, how much rows of one record may fill. */
 const RECORD_SHARE = 0.9;
 
@@ -56,6 +60,9 @@
   /** Replicas that would be moved off machines that leave for other reasons than a drain. */
   private readonly wishes = new Map<Attempt, AttemptView>();
   private readonly lost: string[] = [];
+  /** Until when no walk over the fleet is made, for notices and for each drain's next step. */
+  private noticesAt = 0;
+  private readonly nextStepAt = new Map<DrainName, number>();
 
   constructor(private readonly settings: DrainSettings) {
     this.budget = new BudgetLedger(settings);
@@ -173,9 +180,11 @@
   /** Replicas of a drained machine are asked for by its drain, others here. */
   mayMove(attempt: AttemptView): boolean {
     const drain = this.drainOf(attempt.machine.id);
-    if (drain && drain.phase !== 'running') return false;
+    // A machine that fails jobs leaves whatever becomes of its drain.
+    const { draining } = attempt.machine;
+    if (drain && drain.phase !== 'running' && !draining) return false;
     if (this.budget.isGranted(attempt.entry.attempt)) return true;
-    if (!drain) this.wishes.set(attempt.entry.attempt, attempt);
+    if (!drain || draining) this.wishes.set(attempt.entry.attempt, attempt);
     return false;
   }
 
@@ -213,6 +222,8 @@
 
   /** Tasks that a notice stops are disrupted from that moment on. */
   private countNotices({ fleet, moment }: Turn): void {
+    if (moment.now < this.noticesAt) return;
+    this.noticesAt = moment.now + SCAN_MS;
     for (const machine of fleet.machines.values()) {
       if (machine.noticeUntil === null) continue;
       for (const attempt of machine.placements.values()) {
@@ -272,7 +283,10 @@
   private advanceMachine(drain: Drain, machineDrain: MachineDrain, turn: Turn): void {
     const { fleet, requests } = turn;
     const machine = fleet.machines.get(machineDrain.machine);
-    if (!this.store.isStored(machineKey(drain.request.name, machineDrain.machine))) return;
+    if (!this.store.isStored(machineKey(drain.request.name, machineDrain.machine))) {
+      this.progress.block(drain, { kind: 'storing' }, machineDrain.machine);
+      return;
+    }
     if (!machine) return this.close(drain, machineDrain, turn);
     if (machineDrain.phase !== 'waiting') requests.push({ kind: 'cordon', machine: machine.id });
     if (machineDrain.phase === 'returning') {
@@ -280,8 +294,11 @@
       this.progress.block(drain, { kind: 'return-unconfirmed' }, machine.id);
       return;
     }
-    // What is about to go by itself is left to the ordinary path.
-    if (drain.phase !== 'running' || isGoing(machine)) return;
+    if (drain.phase !== 'running') return;
+    if (isBeingLost(machine)) {
+      this.progress.block(drain, { kind: 'being-lost' }, machine.id);
+      return;
+    }
     if (drain.request.replace && !this.hasReplacement(drain, machineDrain, machine, turn)) return;
     if (machineDrain.phase === 'waiting') {
       requests.push({ kind: 'cordon', machine: machine.id });
@@ -340,6 +357,7 @@
   /** Lets work end, stops what saves, and asks for moves of replicas, as far as the budgets allow. */
   private empty(drain: Drain, machineDrain: MachineDrain, machine: MachineView, turn: Turn): void {
     const work = workOn(machine, this.settings.letEndS, turn.moment);
+    if (work.ended > 0) this.progress.block(drain, { kind: 'results-kept', tasks: work.ended }, machine.id);
     if (work.ending.length > 0) {
       const inS = Math.ceil(work.endsInMs / 1000);
       const blocker: Blocker = { kind: 'work-ends-by-itself', tasks: work.ending.length, inS };
@@ -367,7 +385,10 @@
 
   private mayDisrupt(drain: Drain, attempt: AttemptView, turn: Turn): boolean {
     const result = this.budget.request(attempt, turn.fleet, turn.moment);
-    if (result && isBlocker(result)) this.progress.block(drain, result, attempt.machine.id);
+    const lapsed: Blocker = { kind: 'grant-lapsed', job: attempt.entry.job };
+    if (result === null) this.progress.block(drain, lapsed, attempt.machine.id);
+    else if (isBlocker(result)) this.progress.block(drain, result, attempt.machine.id);
+    else if (result.phase === 'asked') this.progress.block(drain, { kind: 'storing' }, attempt.machine.id);
     return this.budget.isGranted(attempt.entry.attempt);
   }
 
@@ -380,6 +401,12 @@
   }
 
   private beginStep(drain: Drain, turn: Turn): void {
+    const { name } = drain.request;
+    if (turn.moment.now < (this.nextStepAt.get(name) ?? 0)) {
+      this.progress.keep(drain);
+      return;
+    }
+    this.progress.begin(drain);
     const waiting = this.budget.voluntaryOpen;
     if (waiting > 0) {
       this.progress.block(drain, { kind: 'work-runs-again', tasks: waiting });
@@ -391,7 +418,10 @@
       return;
     }
     const chosen = this.choose(drain, members, turn);
-    if (chosen.length === 0) return;
+    if (chosen.length === 0) {
+      this.nextStepAt.set(name, turn.moment.now + STEP_RETRY_MS);
+      return;
+    }
     drain.step += 1;
     this.setPhase(drain, 'running', null, turn);
     for (const machine of chosen) this.take(drain, machine, turn);
@@ -399,26 +429,26 @@
 
   /** The machines of the next step; what keeps others from being taken is noted. */
   private choose(drain: Drain, members: readonly MachineView[], turn: Turn): MachineView[] {
+    // Of a machine that has not reported to this leader only a former leader's ledger, or a list that lags, may tell.
     const free = members.filter(
-      (m) => !isGoing(m) && !m.cordoned && this.drainOf(m.id) === null && !this.isReplacement(m.id),
+      (m) =>
+        m.everSeen && !isGoing(m) && !m.cordoned && this.drainOf(m.id) === null && !this.isReplacement(m.id),
     );
     if (free.length === 0) {
       this.progress.block(drain, { kind: 'busy-elsewhere', machines: members.length });
       return [];
     }
     const chosen: MachineView[] = [];
-    const leaving = new Set<MachineId>();
+    const guard = drain.request.replace ? null : new HeadGuard(turn.fleet);
     for (const { machine } of byDisturbance(free, this.settings.letEndS, turn.moment)) {
       if (chosen.length >= this.stepSizeOf(drain)) break;
-      if (!drain.request.replace) {
-        const blocker = headBlocker(turn.fleet, new Set([...leaving, machine.id]));
-        if (blocker) {
-          this.progress.block(drain, blocker);
-          continue;
-        }
+      const blocker = guard?.blocker(machine.id);
+      if (blocker) {
+        this.progress.block(drain, blocker);
+        continue;
       }
       chosen.push(machine);
-      leaving.add(machine.id);
+      guard?.letGo(machine.id);
     }
     return chosen;
   }
--- a/packages/drain/src/core/head-check.ts
+++ b/packages/drain/src/core/head-check.ts
@@ -17,19 +17,43 @@
 };
 
 /**
- * What keeps these machines from leaving without a replacement: the head needs one that stays, or of a kind that the cloud
- * has not refused of late.
+ * Keeps for the head a machine that suits it, unless the cloud rents out such machines and has not refused them of late. One
+ * walk over the fleet serves for all machines that are looked at in turn.
  */
-export const headBlocker = (fleet: FleetView, leaving: ReadonlySet<MachineId>): Blocker | null => {
-  const head = fleet.head === null ? undefined : fleet.jobs.get(fleet.head);
-  if (!head) return null;
-  for (const machine of fleet.machines.values()) {
-    const type = fleet.types.get(machine.type);
-    if (!type || leaving.has(machine.id) || machine.cordoned || isGoing(machine)) continue;
-    if (suits(head.spec, { type, zone: machine.zone, spot: machine.spot })) return null;
+export class HeadGuard {
+  private readonly head: JobSpec | null;
+  /** Machines that suit the head and stay. */
+  private readonly suitable = new Set<MachineId>();
+  private readonly rentable: boolean;
+
+  constructor(fleet: FleetView) {
+    this.head = (fleet.head === null ? undefined : fleet.jobs.get(fleet.head))?.spec ?? null;
+    this.rentable = this.isRentable(fleet);
+    if (this.head === null || this.rentable) return;
+    for (const machine of fleet.machines.values()) {
+      const type = fleet.types.get(machine.type);
+      if (!type || machine.cordoned || isGoing(machine)) continue;
+      if (suits(this.head, { type, zone: machine.zone, spot: machine.spot })) this.suitable.add(machine.id);
+    }
   }
-  for (const kind of fleet.rentalKinds.values()) {
-    if (kind.refusals === 0 && suits(head.spec, kind)) return null;
+
+  private isRentable(fleet: FleetView): boolean {
+    if (this.head === null) return true;
+    for (const kind of fleet.rentalKinds.values()) {
+      if (kind.refusals === 0 && suits(this.head, kind)) return true;
+    }
+    return false;
   }
-  return { kind: 'head-needs-it', job: head.spec.id };
-};
+
+  /** What keeps a machine from leaving, beside those that have been let go. */
+  blocker(machine: MachineId): Blocker | null {
+    if (this.head === null || this.rentable) return null;
+    if (!this.suitable.has(machine) || this.suitable.size > 1) return null;
+    return { kind: 'head-needs-it', job: this.head.id };
+  }
+
+  /** The machine leaves. */
+  letGo(machine: MachineId): void {
+    this.suitable.delete(machine);
+  }
+}
--- a/packages/drain/src/core/plan.ts
+++ b/packages/drain/src/core/plan.ts
@@ -1,7 +1,6 @@
 /** A dry run: the steps that a drain would take as things stand, and what would hold each machine up. */
-import type { MachineId } from '@robinspread/extension-api';
 import type { Drains } from './drains.js';
-import { headBlocker } from './head-check.js';
+import { HeadGuard } from './head-check.js';
 import { byDisturbance, type Disturbance, isGoing, membersOf } from './selection.js';
 import type { DrainSettings } from './settings.js';
 import type { Turn } from './turn.js';
@@ -17,7 +16,7 @@
   return [...blockers.values()];
 };
 
-const blockersOf = (drains: Drains, drain: Drain, item: Disturbance, turn: Turn): Blocker[] => {
+const blockersOf = (drains: Drains, guard: HeadGuard | null, item: Disturbance, turn: Turn): Blocker[] => {
   const blockers = budgetBlockers(drains, item, turn);
   const { machine, work } = item;
   if (isGoing(machine) || machine.cordoned || drains.drainOf(machine.id))
@@ -26,8 +25,9 @@
     const inS = Math.ceil(work.endsInMs / 1000);
     blockers.push({ kind: 'work-ends-by-itself', tasks: work.ending.length, inS });
   }
-  const head = drain.request.replace ? null : headBlocker(turn.fleet, new Set<MachineId>([machine.id]));
+  const head = guard?.blocker(machine.id);
   if (head) blockers.push(head);
+  else guard?.letGo(machine.id);
   return blockers;
 };
 
@@ -36,6 +36,7 @@
   const members = membersOf(drain, turn.fleet, turn.moment);
   const order = byDisturbance(members, settings.letEndS, turn.moment);
   const size = drains.stepSizeOf(drain);
+  const guard = drain.request.replace ? null : new HeadGuard(turn.fleet);
   return {
     machines: members.length,
     stepSize: size,
@@ -47,7 +48,7 @@
       stops: item.work.stoppable.length,
       moves: item.work.replicas.length,
       ends: item.work.ending.length,
-      blocked: blockersOf(drains, drain, item, turn).map(describeBlocker),
+      blocked: blockersOf(drains, guard, item, turn).map(describeBlocker),
     })),
   };
 };
--- a/packages/drain/src/core/progress.ts
+++ b/packages/drain/src/core/progress.ts
@@ -7,6 +7,7 @@
 
 export class Progress {
   private readonly blockers = new Map<DrainName, Map<MachineId, Blocker>>();
+  private readonly previous = new Map<DrainName, Map<MachineId, Blocker>>();
   private readonly movedAt = new Map<DrainName, number>();
   private readonly attemptsLeft = new Map<DrainName, number>();
 
@@ -14,9 +15,17 @@
 
   /** Forgets the reasons of the last decision. */
   begin({ request }: Drain): void {
+    const reasons = this.blockers.get(request.name);
+    if (reasons && reasons.size > 0) this.previous.set(request.name, reasons);
     this.blockers.set(request.name, new Map());
   }
 
+  /** The reasons of the decision before still hold: nothing was looked at again. */
+  keep({ request }: Drain): void {
+    const before = this.previous.get(request.name);
+    if (before) this.blockers.set(request.name, before);
+  }
+
   block({ request }: Drain, blocker: Blocker, machine: MachineId = WHOLE): void {
     this.blockers.get(request.name)?.set(machine, blocker);
   }
@@ -48,6 +57,7 @@
 
   forget(name: DrainName): void {
     this.blockers.delete(name);
+    this.previous.delete(name);
     this.movedAt.delete(name);
     this.attemptsLeft.delete(name);
   }
--- a/packages/drain/src/core/replacements.ts
+++ b/packages/drain/src/core/replacements.ts
@@ -11,7 +11,8 @@
 /** A rental that is under way or has been answered. */
 interface Rental {
   readonly machineDrain: MachineDrain;
-  readonly since: number;
+  /** Since when its machine is waited for: the cloud's answer, or this leader's first look. */
+  since: number;
   underWay: boolean;
   refusals: number;
   retryAt: number;
@@ -124,6 +125,7 @@
     const [machine] = machines;
     if (result === 'ok' && machine !== undefined) {
       rental.machineDrain.replacement = machine;
+      rental.since = now;
       return rental.machineDrain;
     }
     if (result === 'unknown') rental.retryAt = now + UNANSWERED_RETRY_MS;
--- a/packages/drain/src/core/selection.ts
+++ b/packages/drain/src/core/selection.ts
@@ -34,6 +34,8 @@
   readonly ending: readonly AttemptView[];
   /** Attempts that have been told to stop, or whose job is over. */
   readonly stopping: number;
+  /** Attempts that have ended and whose results the machine still holds. */
+  readonly ended: number;
   /** By estimate, when the last of `ending` has ended. */
   readonly endsInMs: number;
 }
@@ -51,10 +53,14 @@
   const replicas: AttemptView[] = [];
   const ending: AttemptView[] = [];
   let stopping = 0;
+  let ended = 0;
   let endsInMs = 0;
   for (const attempt of machine.placements.values()) {
     const { job, kill, phase } = attempt;
-    if (phase === 'ended') continue;
+    if (phase === 'ended') {
+      ended += 1;
+      continue;
+    }
     if (kill || !job || job.final !== 'none' || attempt.superseded) {
       stopping += 1;
       continue;
@@ -70,7 +76,7 @@
       endsInMs = Math.max(endsInMs, leftMs);
     }
   }
-  return { stoppable, replicas, ending, stopping, endsInMs };
+  return { stoppable, replicas, ending, stopping, ended, endsInMs };
 };
 
 /** How much taking a machine out of use disturbs; smaller is better. */
@@ -105,6 +111,9 @@
         (a.machine.id < b.machine.id ? -1 : 1),
     );
 
+/** The cloud takes it, or it is lost: what is on it is left to the ordinary path. */
+export const isBeingLost = (machine: MachineView): boolean =>
+  machine.deleting || machine.lostAt !== null || machine.noticeUntil !== null;
+
 /** A machine that is about to leave the fleet anyway. */
-export const isGoing = (machine: MachineView): boolean =>
-  machine.draining || machine.deleting || machine.lostAt !== null || machine.noticeUntil !== null;
+export const isGoing = (machine: MachineView): boolean => machine.draining || isBeingLost(machine);
--- a/packages/drain/src/core/types.ts
+++ b/packages/drain/src/core/types.ts
@@ -99,6 +99,10 @@
   | { readonly kind: 'work-runs-again'; readonly tasks: number }
   | { readonly kind: 'head-needs-it'; readonly job: string }
   | { readonly kind: 'return-unconfirmed' }
+  | { readonly kind: 'being-lost' }
+  | { readonly kind: 'storing' }
+  | { readonly kind: 'results-kept'; readonly tasks: number }
+  | { readonly kind: 'grant-lapsed'; readonly job: string }
   | { readonly kind: 'busy-elsewhere'; readonly machines: number }
   | { readonly kind: 'fleet-unsettled' };
 
@@ -129,8 +133,16 @@
       return `no other machine could ever fit ${blocker.job}, the head of the queue`;
     case 'return-unconfirmed':
       return 'the cloud has not confirmed its return';
+    case 'being-lost':
+      return 'it is lost, or the cloud takes it';
+    case 'storing':
+      return 'its last change is being stored';
+    case 'results-kept':
+      return `${blocker.tasks} tasks have ended, and their results are being stored`;
+    case 'grant-lapsed':
+      return `a replica of ${blocker.job} found no room elsewhere in time; it is tried again soon`;
     case 'busy-elsewhere':
-      return `${blocker.machines} machines are part of another drain, or about to go`;
+      return `${blocker.machines} machines are part of another drain, have not reported, or are about to go`;
     case 'fleet-unsettled':
       return 'a new leader waits for the machines to report';
   }
--- a/packages/drain/src/operators.ts
+++ b/packages/drain/src/operators.ts
@@ -9,7 +9,7 @@
 } from '@robinspread/extension-api';
 import { readRequest } from './adapters/request-form.js';
 import { type Drains, isFinished } from './core/drains.js';
-import { headBlocker } from './core/head-check.js';
+import { HeadGuard } from './core/head-check.js';
 import { planOf } from './core/plan.js';
 import { writeDrain } from './core/records.js';
 import { membersOf } from './core/selection.js';
@@ -114,9 +114,13 @@
     if (bytes > fleet.valueBytes * RECORD_SHARE)
       return 'field select.machines: more names than a record of the state service holds';
     if (drain.request.replace) return null;
-    const leaving = new Set(membersOf(drain, fleet, moment).map(({ id }) => id));
-    const blocker = headBlocker(fleet, leaving);
-    return blocker ? describeBlocker(blocker) : null;
+    const guard = new HeadGuard(fleet);
+    for (const { id } of membersOf(drain, fleet, moment)) {
+      const blocker = guard.blocker(id);
+      if (blocker) return describeBlocker(blocker);
+      guard.letGo(id);
+    }
+    return null;
   }
 
   private plan(body: unknown, turn: Turn): OperatorAnswer {
--- /dev/null
+++ b/packages/drain/test/histories.test.ts
@@ -0,0 +1,196 @@
+/** Drawn histories of drains, failures and takeovers in the simulated world, which knows what really happens on its machines. */
+import * as fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { SimulatedWorld } from '../../../test/model/simulated-world.js';
+import { drainModule } from '../src/index.js';
+import { settingsOf, TIGHT } from './settings.js';
+
+interface Told {
+  status: string;
+  why: string | null;
+  blocked: { text: string } | null;
+  machines: { blocked: { text: string } | null }[];
+}
+
+/** At most this many of a team's tasks may be stopped by decision and not run again. */
+const AT_ONCE: Readonly<Record<string, number>> = { blue: 2, green: 1 };
+const WINDOW = { team: 'green', ms: 60_000, count: 3 };
+/** Stops of one window by the machines' clock may be decided within a slightly longer one. */
+const WINDOW_SLACK_MS = 20_000;
+
+/** What has been seen over all histories: a check of histories in which nothing happens would mean nothing. */
+const seen = { stops: 0, drains: 0, takeovers: 0, done: 0 };
+
+class Observed {
+  readonly world: SimulatedWorld;
+  readonly names = new Set<string>();
+  private readonly stops: { team: string; at: number }[] = [];
+
+  constructor(seed: number) {
+    this.world = new SimulatedWorld(seed, {
+      module: drainModule(settingsOf(TIGHT)),
+      bothVersions: false,
+      preemption: false,
+      mostMachines: 9,
+    });
+    this.world.onVoluntaryStop = (name) => {
+      seen.stops += 1;
+      const { team } = this.world.interrupted.get(name)!;
+      this.stops.push({ team, at: this.world.now });
+    };
+  }
+
+  /** The slow, plain check: counted anew from what the machines know. */
+  check(): void {
+    expect(this.world.problems).toEqual([]);
+    for (const [team, most] of Object.entries(AT_ONCE)) {
+      const open = this.world.interruptedByDecision().filter((i) => i.team === team);
+      expect(open.length, `${team} at ${this.world.now}`).toBeLessThanOrEqual(most);
+    }
+    const from = this.world.now - (WINDOW.ms - WINDOW_SLACK_MS);
+    const recent = this.stops.filter(({ team, at }) => team === WINDOW.team && at > from);
+    expect(recent.length, `window at ${this.world.now}`).toBeLessThanOrEqual(WINDOW.count);
+  }
+
+  /** Plays in small pieces, so that no excess goes unseen. */
+  play(ms: number, calm: boolean): void {
+    for (let played = 0; played < ms; played += 500) {
+      this.world.play(500, calm);
+      this.check();
+    }
+  }
+
+  call(route: string, subject: string, body: object = {}): { status: number; body: object } | null {
+    for (let tries = 0; tries < 40; tries += 1) {
+      const pending = this.world.operate({ route, subject, body });
+      for (let waited = 0; pending && !pending.answer && waited < 4000; waited += 250) this.play(250, true);
+      if (pending?.answer && pending.answer.status !== 503) return pending.answer;
+      this.play(1000, true);
+    }
+    return null;
+  }
+}
+
+type Model = Record<string, never>;
+type Step = fc.Command<Model, Observed>;
+
+class Play implements Step {
+  constructor(readonly ms: number) {}
+  check = () => true;
+  run(_: Model, real: Observed): void {
+    real.play(this.ms, false);
+  }
+  toString = () => `play ${this.ms}`;
+}
+
+class Start implements Step {
+  constructor(
+    readonly name: string,
+    readonly body: object,
+  ) {}
+  check = () => true;
+  run(_: Model, real: Observed): void {
+    const answer = real.call('start', '', { name: this.name, ...this.body });
+    if (answer?.status === 201) {
+      seen.drains += 1;
+      real.names.add(this.name);
+    }
+  }
+  toString = () => `start ${this.name} ${JSON.stringify(this.body)}`;
+}
+
+class Change implements Step {
+  constructor(
+    readonly name: string,
+    readonly change: 'pause' | 'resume' | 'cancel',
+  ) {}
+  check = () => true;
+  run(_: Model, real: Observed): void {
+    const answer = real.call(this.change, this.name);
+    expect([200, 404, 409, undefined]).toContain(answer?.status);
+  }
+  toString = () => `${this.change} ${this.name}`;
+}
+
+class Trouble implements Step {
+  constructor(
+    readonly kind: 'cloudDownUntil' | 'noCapacityUntil' | 'bootTroubleUntil' | 'stateDownUntil',
+    readonly ms: number,
+  ) {}
+  check = () => true;
+  run(_: Model, real: Observed): void {
+    real.world[this.kind] = real.world.now + this.ms;
+    real.play(2000, false);
+  }
+  toString = () => `${this.kind} ${this.ms}`;
+}
+
+const names = fc.constantFrom('a', 'b', 'c');
+const selectors = fc.constantFrom<object>(
+  { all: true },
+  { zone: 'a' },
+  { spot: true },
+  { spot: false, zone: 'b' },
+);
+const bodies = fc.record({
+  select: selectors,
+  atOnce: fc.integer({ min: 1, max: 3 }),
+  replace: fc.boolean(),
+});
+const commands = [
+  fc.integer({ min: 2000, max: 30_000 }).map((ms) => new Play(ms)),
+  fc.integer({ min: 2000, max: 30_000 }).map((ms) => new Play(ms)),
+  fc.tuple(names, bodies).map(([name, body]) => new Start(name, body)),
+  fc.tuple(names, bodies).map(([name, body]) => new Start(name, body)),
+  fc
+    .tuple(names, fc.constantFrom('pause' as const, 'resume' as const, 'cancel' as const))
+    .map(([name, change]) => new Change(name, change)),
+  fc
+    .tuple(
+      fc.constantFrom(
+        'cloudDownUntil' as const,
+        'noCapacityUntil' as const,
+        'bootTroubleUntil' as const,
+        'stateDownUntil' as const,
+      ),
+      fc.integer({ min: 1000, max: 20_000 }),
+    )
+    .map(([kind, ms]) => new Trouble(kind, ms)),
+];
+
+/** Once the troubles are over every drain ends, pauses, or says what holds it up; and every job is done. */
+const finish = (real: Observed): void => {
+  real.world.heal();
+  for (let i = 0; i < 80 && real.world.unfinished().length > 0; i += 1) real.play(30_000, true);
+  expect(real.world.unfinished()).toEqual([]);
+  for (const name of real.names) {
+    const told = real.call('status', name)?.body as Told | undefined;
+    const says = [told?.why, told?.blocked?.text, ...(told?.machines ?? []).map((m) => m.blocked?.text)];
+    const ended = told?.status === 'done' || told?.status === 'cancelled';
+    expect(ended || says.some(Boolean), `${name}: ${JSON.stringify(told)}`).toBe(true);
+    if (told?.status === 'done') seen.done += 1;
+  }
+  seen.takeovers += real.world.takeovers;
+};
+
+describe('drains in drawn histories', () => {
+  it('keep every budget, lose no job, run nothing twice, return nothing with work, and end or say why not', () => {
+    fc.assert(
+      fc.property(
+        fc.integer({ min: 1, max: 1e6 }),
+        fc.commands(commands, { maxCommands: 14, size: 'max' }),
+        (seed, steps) => {
+          const real = new Observed(seed);
+          real.play(8000, false);
+          fc.modelRun(() => ({ model: {}, real }), steps);
+          finish(real);
+        },
+      ),
+      { numRuns: 60, seed: 20_261_202 },
+    );
+    expect(seen.stops).toBeGreaterThan(40);
+    expect(seen.drains).toBeGreaterThan(40);
+    expect(seen.takeovers).toBeGreaterThan(100);
+    expect(seen.done).toBeGreaterThan(15);
+  }, 120_000);
+});
--- /dev/null
+++ b/packages/drain/test/input.test.ts
@@ -0,0 +1,135 @@
+/** What operators may hand over: files and requests, and how faults are named. */
+import { describe, expect, it } from 'vitest';
+import { readRequest } from '../src/adapters/request-form.js';
+import { readSettings } from '../src/adapters/settings-file.js';
+import { DrainFleet, inZone } from './drain-fleet.js';
+
+const TEAMS = new Set(['blue', 'green']);
+const faultOf = (text: string): string => {
+  const read = readSettings(text, TEAMS);
+  return 'fault' in read ? read.fault : 'none';
+};
+
+describe('the file', () => {
+  it('is read with every field, and what is left out keeps its default', () => {
+    const read = readSettings(
+      `; a comment
+       (drain (let-end-s 30)
+         (budgets (default (at-once 3))
+           (team "blue" (at-once 2) (at-once-share 0.25) (within 600 10) (class settle (at-once 1)))))`,
+      TEAMS,
+    );
+    expect(read).toEqual({
+      letEndS: 30,
+      readyTimeoutS: 300,
+      stalledAfterS: 60,
+      defaultBudget: { count: 3, share: null, window: null },
+      teams: new Map([
+        [
+          'blue',
+          {
+            limits: { count: 2, share: 0.25, window: { seconds: 600, count: 10 } },
+            classes: new Map([['settle', { count: 1, share: null, window: null }]]),
+          },
+        ],
+      ]),
+    });
+  });
+
+  it.each([
+    ['(drain (budgets (team red (at-once 1))))', 'drain: field budgets: unknown team red'],
+    [
+      '(drain (budgets (team blue (at-once -1))))',
+      'drain: field budgets blue at-once: must be a number from 0 to 1000000',
+    ],
+    [
+      '(drain (budgets (team blue (at-once 1.5))))',
+      'drain: field budgets blue at-once: must be a whole number',
+    ],
+    ['(drain (budgets (team blue (at-once))))', 'drain: field budgets blue at-once: takes 1 value(s)'],
+    [
+      '(drain (budgets (team blue (at-once-share 1.2))))',
+      'drain: field budgets blue at-once-share: must be a number from 0 to 1',
+    ],
+    ['(drain (budgets (team blue (within 10))))', 'drain: field budgets blue within: takes 2 value(s)'],
+    ['(drain (budgets (team blue (often 3))))', 'drain: unknown field budgets blue often'],
+    ['(drain (budgets (team blue (class))))', 'drain: field budgets blue class: expected (class NAME ...)'],
+    ['(drain (budgets (team blue) (team blue)))', 'drain: field budgets blue: stated twice'],
+    ['(drain (budget))', 'drain: unknown field budget'],
+    ['(drain (let-end-s soon))', 'drain: field let-end-s: must be a number from 0 to 86400'],
+    ['(drains)', 'drain: expected (drain ...)'],
+    ['drain', 'drain: expected (drain ...)'],
+  ])('with a fault is refused in one line that names it: %s', (text, fault) => {
+    expect(faultOf(text)).toBe(fault);
+  });
+
+  it('cut short or empty is refused', () => {
+    for (const text of ['(drain', '', '())', '(drain let-end-s)'])
+      expect(faultOf(text)).toMatch(/^drain: .+/);
+  });
+});
+
+describe('a request', () => {
+  const body = { name: 'swap', select: { all: true } };
+
+  it.each([
+    [{ ...body, name: 'Swap it' }, 'field name: must be 1 to 40 of a-z, 0-9 and -'],
+    [{ ...body, name: 'plan' }, 'field name: is the name of a call'],
+    [{ ...body, select: {} }, 'field select: must not be empty'],
+    [{ ...body, select: { machines: [] } }, 'field select.machines: must not be empty'],
+    [{ ...body, select: { kind: 'c8' } }, 'field select.kind: unknown'],
+    [{ ...body, colour: 1 }, 'field colour: unknown'],
+    [{ ...body, atOnceShare: 1.1 }, 'field atOnceShare: must not be above 1'],
+    [{ ...body, atOnceShare: 0 }, 'field atOnceShare: must be above 0'],
+    [{ ...body, atOnce: 0 }, 'field atOnce: must be 1 or more'],
+    [{ ...body, atOnce: 1, atOnceShare: 0.5 }, 'field atOnceShare: not together with atOnce'],
+    [{ ...body, deadlineS: -1 }, 'field deadlineS: must be above 0'],
+  ])('with a fault is refused in one line that names the field: %j', (sent, fault) => {
+    expect(readRequest(sent)).toEqual({ fault });
+  });
+
+  it.each([null, 7, [], { select: { all: true } }, { name: 'swap' }])(
+    'that is none is refused: %j',
+    (sent) => {
+      expect(readRequest(sent)).toHaveProperty('fault');
+    },
+  );
+
+  it('for what there is not gets 422 and stores nothing; an unknown drain 404', () => {
+    const fleet = new DrainFleet(inZone(2));
+    const refusals = [
+      [{ type: 'c9' }, 'field select.type: unknown machine type c9'],
+      [{ zone: 'z' }, 'field select.zone: unknown zone z'],
+      [{ machines: ['n-0000', 'n-77'] }, 'field select.machines: unknown machine n-77'],
+      [{ spot: true }, 'field select: no machine meets it'],
+    ] as const;
+    for (const [select, error] of refusals) {
+      expect(fleet.start('out', { select })).toMatchObject({ status: 422, body: { error } });
+    }
+    for (const call of ['status', 'pause', 'resume', 'cancel'])
+      expect(fleet.call(call, 'out').status).toBe(404);
+    expect(fleet.start('out', { select: { all: 1 } }).status).toBe(400);
+    expect(fleet.records.size).toBe(0);
+  });
+
+  it('may be repeated; the same name with another body is refused', () => {
+    const fleet = new DrainFleet(inZone(2));
+    expect(fleet.start('out', { select: { all: true } }).status).toBe(201);
+    expect(fleet.start('out', { select: { all: true }, atOnce: 1, replace: true }).status).toBe(200);
+    expect(fleet.start('out', { select: { all: true }, atOnce: 2 }).status).toBe(409);
+    fleet.until(() => fleet.phase('out') === 'done');
+    expect(fleet.start('out', { select: { all: true } })).toMatchObject({
+      status: 200,
+      body: { status: 'done' },
+    });
+    expect(fleet.hires.size).toBe(2);
+  });
+
+  it('with more names than a record holds is refused, naming the field', () => {
+    const fleet = new DrainFleet(inZone(120));
+    const machines = [...fleet.machines.keys()];
+    const refused = fleet.start('out', { select: { machines } });
+    expect(refused.status).toBe(422);
+    expect(refused.body.error).toMatch(/^field select.machines: more names/);
+  });
+});
--- /dev/null
+++ b/packages/drain/test/large-fleet.test.ts
@@ -0,0 +1,42 @@
+/** Planning for a fleet of 4,000 machines, with the work counted. */
+import { describe, expect, it } from 'vitest';
+import { DrainFleet, inZone } from './drain-fleet.js';
+
+const FLEET = 4000;
+
+/** Counts the machines that walks over the fleet look at. */
+class CountingMap<K, V> extends Map<K, V> {
+  visited = 0;
+
+  override *values(): MapIterator<V> {
+    for (const value of super.values()) {
+      this.visited += 1;
+      yield value;
+    }
+  }
+}
+
+describe('a drain of 4,000 machines', () => {
+  it('looks at each machine a bounded number of times a step, keeps few records, and answers within a line', () => {
+    const fleet = new DrainFleet(inZone(FLEET));
+    const counting = new CountingMap(fleet.state.machines);
+    Object.assign(fleet.state, { machines: counting });
+    const walks = () => {
+      const before = counting.visited;
+      fleet.run(2000);
+      return (counting.visited - before) / FLEET / 4;
+    };
+    const idle = walks();
+    expect(fleet.start('all', { select: { all: true }, atOnceShare: 0.01, replace: false }).status).toBe(201);
+    // Walks over the fleet for each tick: those of a drain are few beside those of the daemon itself.
+    const draining = walks();
+    expect(draining - idle).toBeLessThan(6);
+    expect([...fleet.records.keys()].length).toBeLessThanOrEqual(1 + 40);
+    const told = fleet.call('status', 'all').body as { total: number };
+    expect(told.total).toBe(FLEET);
+    const plan = fleet.call('plan', '', { select: { all: true }, atOnceShare: 0.01 });
+    for (const answer of [told, plan.body]) expect(JSON.stringify(answer).length).toBeLessThan(60_000);
+    fleet.until(() => fleet.returned.length >= 120);
+    expect(fleet.problems).toEqual([]);
+  }, 120_000);
+});
--- /dev/null
+++ b/test/extensions.test.ts
@@ -0,0 +1,218 @@
+/** The interface for optional packages: without one nothing changes, and a faulty one stops nothing. */
+import { describe, expect, it } from 'vitest';
+import { drainModule } from '../packages/drain/src/index.js';
+import { settingsOf } from '../packages/drain/test/settings.js';
+import type { Extension, ExtensionRequest, OperatorAnswer } from '../src/core/extension.js';
+import { ExtensionHost } from '../src/core/extension-host.js';
+import type { Effect, SaveOp, Ticket } from '../src/core/types.js';
+import { Persister } from '../src/service/persister.js';
+import { core } from './model/build.js';
+import { CoreDriver, ended, running } from './model/core-driver.js';
+import { log } from './stand-ins/cluster.js';
+
+/** An extension that does nothing but what a test overrides. */
+const extension = (change: Partial<Extension>): Extension => ({
+  name: 'probe',
+  load: () => {},
+  observe: () => {},
+  decide: () => [],
+  call: () => null,
+  mayReturn: () => true,
+  mayMove: () => true,
+  ...change,
+});
+
+const driverWith = (...extensions: Extension[]): CoreDriver => {
+  const state = core();
+  state.extensions = new ExtensionHost(state, extensions);
+  return new CoreDriver(state);
+};
+
+/** A day in short: two machines, tasks that end, one that fails, a machine with a notice; every effect of it. */
+const playDay = (s: CoreDriver): Effect[] => {
+  for (const id of ['n-1', 'n-2']) s.up(id);
+  s.submit('job-1', { tasks: 6, cpus: 2 });
+  s.submit('job-2', { shape: 'service', tasks: 2, priority: 'critical', spotOk: false });
+  for (let i = 0; i < 12; i += 1) {
+    for (const id of ['n-1', 'n-2']) {
+      const starts = s.starts(s.checkIn(id));
+      s.checkIn(id, starts.map(running), i === 9 && id === 'n-1' ? { noticeS: 20 } : {});
+      const done = starts.map((o) => ended(o, o.job === 'job-2' ? null : i === 3 ? 'error' : 'done'));
+      s.checkIn(id, done);
+    }
+    s.pass(3000);
+  }
+  s.pass(400_000);
+  return s.effects;
+};
+
+describe('without a package', () => {
+  it('decisions and records are the same as with one that has nothing to do, and no step costs more effects', () => {
+    const off = new CoreDriver();
+    const on = new CoreDriver(core());
+    on.state.extensions = new ExtensionHost(on.state, [
+      drainModule(settingsOf('(drain (budgets (default (at-once 100))))')).create(),
+    ]);
+    const plain = playDay(off);
+    const withIdle = playDay(on);
+    const extra = withIdle.filter((e) => e.kind === 'save' && e.ops.some((op) => op.kind === 'extension'));
+    expect(plain.length).toBeGreaterThan(100);
+    expect(plain.some((e) => e.kind === 'delete')).toBe(true);
+    expect(plain.some((e) => e.kind === 'rent')).toBe(true);
+    // Only disruptions that nobody chose are written down by the package.
+    const comparable = (effects: readonly Effect[]) =>
+      effects
+        .filter((e) => e.kind === 'rent' || e.kind === 'delete' || e.kind === 'orders' || e.kind === 'answer')
+        .map((e) => JSON.stringify(e));
+    expect(comparable(withIdle)).toEqual(comparable(plain));
+    expect(withIdle.length - plain.length).toBeLessThanOrEqual(2 * extra.length);
+  });
+
+  it('the core holds no host, so that no hook runs', () => {
+    const s = new CoreDriver();
+    playDay(s);
+    expect(s.state.extensions).toBeNull();
+  });
+});
+
+describe('an extension that throws', () => {
+  it('is logged and left out for that step; placement goes on, and it is asked again in the next', () => {
+    let asked = 0;
+    const s = driverWith(
+      extension({
+        decide: () => {
+          asked += 1;
+          throw new Error('broken');
+        },
+        observe: () => {
+          throw new Error('broken too');
+        },
+      }),
+    );
+    s.submit('job-1');
+    const starts = s.starts(s.up('n-1'));
+    expect(starts).toHaveLength(1);
+    s.checkIn('n-1', starts.map(running));
+    s.checkIn(
+      'n-1',
+      starts.map((o) => ended(o, 'done')),
+    );
+    expect(s.effects.some((e) => e.kind === 'final')).toBe(true);
+    expect(asked).toBeGreaterThan(3);
+    const notes = s.effects.filter((e) => e.kind === 'note' && e.text.startsWith('extension failed'));
+    expect(notes.length).toBeGreaterThan(3);
+  });
+
+  it('in its gate counts as no consent: replicas stay, idle machines are kept', () => {
+    const s = driverWith(
+      extension({
+        mayMove: () => {
+          throw new Error('broken');
+        },
+      }),
+    );
+    for (const id of ['n-1', 'n-2']) s.up(id);
+    s.submit('job-1', { shape: 'service', priority: 'critical' });
+    const holder = ['n-1', 'n-2'].find((id) => {
+      const starts = s.starts(s.checkIn(id));
+      if (starts.length > 0) s.checkIn(id, starts.map(running));
+      return starts.length > 0;
+    })!;
+    const machine = s.state.machines.get(holder as never)!;
+    machine.draining = true;
+    const held = [...machine.placements.values()][0]!;
+    s.pass(4000);
+    expect(held.kill).toBeNull();
+  });
+
+  it('answers a call with 503', () => {
+    const s = driverWith(
+      extension({
+        call: () => {
+          throw new Error('broken');
+        },
+      }),
+    );
+    const call = { route: 'any', subject: '', body: {} };
+    s.send({ kind: 'operator-call', extension: 'probe', call, ticket: 5 as Ticket });
+    const answers = s.effects.flatMap((e): OperatorAnswer[] =>
+      e.kind === 'operator-answer' ? [e.answer] : [],
+    );
+    expect(answers).toMatchObject([{ status: 503 }]);
+  });
+});
+
+describe('writes of extensions', () => {
+  it('take a bounded part of each batch, in order, and come back as stored', () => {
+    const stored: string[] = [];
+    let left = 40;
+    const s = driverWith(
+      extension({
+        decide: (): ExtensionRequest[] => {
+          if (left === 0) return [];
+          const requests: ExtensionRequest[] = [];
+          for (; left > 0; left -= 1)
+            requests.push({
+              kind: 'write',
+              writes: [{ key: `k-${String(left).padStart(2, '0')}`, value: 1 }],
+            });
+          return requests;
+        },
+        observe: (event) => {
+          if (event.kind === 'stored') stored.push(...event.writes.map(({ key }) => key));
+        },
+      }),
+    );
+    s.pass(30_000);
+    const batches = s.effects.flatMap((e) => (e.kind === 'save' ? [e.ops] : []));
+    const sizes = batches.map((ops) => ops.filter((op) => op.kind === 'extension').length);
+    expect(Math.max(...sizes)).toBeLessThanOrEqual(6);
+    expect(stored).toHaveLength(40);
+    expect(stored).toEqual([...stored].sort().reverse());
+  });
+
+  it('are guarded by the leader key and by their own versions, and a deletion of what is not there is left out', async () => {
+    const sent: unknown[] = [];
+    const state = {
+      down: false,
+      txn: async (guards: unknown, writes: unknown) => {
+        sent.push({ guards, writes });
+        return { revision: 9 };
+      },
+    };
+    const jitter = { around: (ms: number) => ms };
+    const persister = new Persister(state as never, 7 as never, log, jitter as never);
+    const ops: SaveOp[] = [
+      {
+        kind: 'extension',
+        extension: 'drain',
+        writes: [
+          { key: 'a', value: { n: 1 } },
+          { key: 'gone', value: null },
+        ],
+      },
+      { kind: 'extension', extension: 'drain', writes: [{ key: 'gone', value: null }] },
+    ];
+    expect(await persister.save(ops)).toEqual([]);
+    expect(
+      await persister.save([{ kind: 'extension', extension: 'drain', writes: [{ key: 'a', value: null }] }]),
+    ).toEqual([]);
+    expect(sent).toEqual([
+      {
+        guards: [
+          { key: 'leader', revision: 7 },
+          { key: 'x/drain/a', revision: 0 },
+        ],
+        writes: [{ put: 'x/drain/a', value: { n: 1 } }],
+      },
+      {
+        guards: [
+          { key: 'leader', revision: 7 },
+          { key: 'x/drain/a', revision: 9 },
+        ],
+        writes: [{ del: 'x/drain/a' }],
+      },
+    ]);
+    expect(persister.lastRevision).toBe(9);
+  });
+});
--- a/test/model/simulated-world.ts
+++ b/test/model/simulated-world.ts
@@ -5,6 +5,8 @@
  */
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { ExtensionModule, OperatorAnswer, OperatorCall } from '../../src/core/extension.js';
+import { ExtensionHost } from '../../src/core/extension-host.js';
 import { keepAliveFor } from '../../src/core/leases.js';
 import type { CoreState } from '../../src/core/state.js';
 import { step } from '../../src/core/step.js';
@@ -119,6 +121,26 @@
   queue: Command[];
 }
 
+/** What a test may set about a world. */
+export interface WorldOptions {
+  /** A package whose extension every leader of this version runs. */
+  readonly module?: ExtensionModule;
+  /** Leaders of the version before this one take turns with it. */
+  readonly bothVersions?: boolean;
+  /** Services are critical: they may stop arrays' tasks. */
+  readonly preemption?: boolean;
+  /** How many machines there may be. */
+  readonly mostMachines?: number;
+}
+
+/** A task that was stopped or lost, until it runs again. */
+interface Interrupted {
+  readonly team: string;
+  readonly lane: string;
+  /** By the leader's own decision. */
+  readonly voluntary: boolean;
+}
+
 interface Message {
   at: number;
   act: () => void;
@@ -138,8 +160,11 @@
   private leaders: Leader[] = [];
   private messages: Message[] = [];
   private readonly rng;
-  private cloudDownUntil = 0;
-  private stateDownUntil = 0;
+  cloudDownUntil = 0;
+  /** Until then the cloud rents nothing, and what it rents never comes up. */
+  noCapacityUntil = 0;
+  bootTroubleUntil = 0;
+  stateDownUntil = 0;
   private stateSlowUntil = 0;
   private nextMachine = 0;
   private readonly tickets = new Map<number, (orders: readonly Order[] | null) => void>();
@@ -192,10 +217,20 @@
   private readonly upgradedAt: number;
   private readonly limitsFallAt: number;
 
-  constructor(seed: number) {
+  /** Tasks that were interrupted and do not run again yet, as the machines know it. */
+  readonly interrupted = new Map<string, Interrupted>();
+  /** Told of each task that is stopped by decision; for checks of budgets. */
+  onVoluntaryStop: (name: string) => void = () => {};
+  private readonly hires = new Map<string, string>();
+  private readonly operatorAnswers = new Map<number, (answer: OperatorAnswer) => void>();
+
+  constructor(
+    seed: number,
+    private readonly options: WorldOptions = {},
+  ) {
     this.rng = xoroshiro128plus(seed);
     SPECS.clear();
-    this.upgradedAt = this.int(0, 90_000);
+    this.upgradedAt = options.bothVersions === false ? -1 : this.int(0, 90_000);
     this.limitsFallAt = this.upgradedAt + this.int(0, 40_000);
     for (let i = 0; i < 4; i += 1) this.addMachine(i === 0, 0);
     this.elect();
@@ -229,10 +264,18 @@
     return Math.max(0, w.heldUntil - this.now) + this.delay();
   }
 
-  private addMachine(ordinary: boolean, bootMs: number): Worker {
+  /** Now and then a machine never comes up. */
+  private neverUp(bootMs: number): number {
+    return this.now < this.bootTroubleUntil ? Number.POSITIVE_INFINITY : bootMs;
+  }
+
+  private addMachine(ordinary: boolean, bootMs: number, zone?: string): Worker {
     const id = `n-${String(this.nextMachine).padStart(4, '0')}`;
     this.nextMachine += 1;
-    const w = new Worker(id, !ordinary, this.chance(50) ? 'a' : 'b', this.now, bootMs);
+    const drawn = this.chance(50) ? 'a' : 'b';
+    // Worlds without a package keep the histories that they have always drawn.
+    const at = this.options.module ? (zone ?? drawn) : drawn;
+    const w = new Worker(id, !ordinary, at, this.now, bootMs);
     w.sick = this.chance(6);
     this.workers.set(id, w);
     return w;
@@ -261,6 +304,9 @@
       keepAliveMs: KEEP_MS,
       ...(old ? LIMITS : NEXT),
     });
+    if (!old && this.options.module) {
+      state.extensions = new ExtensionHost(state, [this.options.module.create()]);
+    }
     const before = this.leaders.at(-1);
     if (before && before.old !== old) this.changes += 1;
     const leader: Leader = {
@@ -295,10 +341,35 @@
       for (const row of record.machines) entered.push({ kind: 'ledger', segment, ...row });
     }
     leader.queue.push(...entered);
+    this.loadRecords(leader);
     leader.queue.push({ kind: 'loaded' });
     leader.queue.push({ kind: 'listed', askedAt: this.now as Instant, machines: this.listing() });
   }
 
+  private loadRecords(leader: Leader): void {
+    const name = this.options.module?.name;
+    if (!leader.state.extensions || name === undefined) return;
+    const prefix = `${name}/`;
+    const records = [...this.store.records]
+      .filter(([key]) => key.startsWith(prefix))
+      .map(([key, text]) => ({ key: key.slice(prefix.length), value: JSON.parse(text) as unknown }));
+    leader.queue.push({ kind: 'extension-records', extension: name, records });
+  }
+
+  /** An operator's call to the present leader; null when there is none, or it is of the other version. */
+  operate(call: OperatorCall): { answer: OperatorAnswer | null } | null {
+    const leader = this.leader();
+    if (!leader?.state.extensions || this.authority(leader) !== 'lead') return null;
+    const ticket = this.nextTicket++;
+    const pending: { answer: OperatorAnswer | null } = { answer: null };
+    this.operatorAnswers.set(ticket, (answer) => {
+      pending.answer = answer;
+    });
+    const extension = this.options.module!.name;
+    leader.queue.push({ kind: 'operator-call', extension, call, ticket: ticket as Ticket });
+    return pending;
+  }
+
   private upgrade(): void {
     const led = this.leader()?.old;
     this.leaders = this.leaders.filter((l) => !l.old);
@@ -352,6 +423,9 @@
         }
         return;
       }
+      case 'operator-answer':
+        this.operatorAnswers.get(effect.ticket)?.(effect.answer);
+        return;
       case 'settled': {
         const id = this.abortOf(effect.ticket);
         if (effect.outcome !== null && this.store.finals.get(id) !== effect.outcome)
@@ -360,21 +434,30 @@
       }
       case 'rent':
         this.soon(this.delay(), () => {
-          if (this.workers.size >= 7) {
+          // A repeated request rents nothing new.
+          const known = this.hires.get(effect.request);
+          if (known !== undefined) {
+            reply({ kind: 'rented', request: effect.request, result: 'ok', machines: [known as MachineId] });
+            return;
+          }
+          if (this.workers.size >= (this.options.mostMachines ?? 7) || this.now < this.noCapacityUntil) {
             reply({ kind: 'rented', request: effect.request, result: 'refused', machines: [] });
             return;
           }
           const atOnce = this.chance(25);
           if (atOnce) this.meetings.upAtOnce += 1;
-          const w = this.addMachine(!effect.spot, atOnce ? this.int(50, 2000) : this.int(1000, 9000));
-          const known = !this.chance(10);
-          const machines = known ? [w.id as MachineId] : [];
-          reply({ kind: 'rented', request: effect.request, result: known ? 'ok' : 'unknown', machines });
+          const bootMs = atOnce ? this.int(50, 2000) : this.int(1000, 9000);
+          const w = this.addMachine(!effect.spot, this.neverUp(bootMs), effect.zone);
+          this.hires.set(effect.request, w.id);
+          const told = !this.chance(10);
+          const machines = told ? [w.id as MachineId] : [];
+          reply({ kind: 'rented', request: effect.request, result: told ? 'ok' : 'unknown', machines });
         });
         return;
       case 'delete':
         // Sent only while the right to lead is sure: a process that stood still asks again at that moment.
         if (this.authority(leader) !== 'lead') return;
+        this.checkReturns(leader, effect.machines);
         this.soon(this.delay(), () => {
           if (this.now < this.cloudDownUntil) {
             reply({ kind: 'deleted', machines: effect.machines, ok: false });
@@ -393,7 +476,7 @@
           if (this.now < w.cutOffUntil && w.cutOffWith !== leader) return;
           if (leader.term < w.term || effect.session !== w.session) return;
           w.term = leader.term;
-          this.execute(w, effect.orders);
+          this.execute(w, effect.orders, leader.old);
           const told = this.reportOf(w);
           // Held up for seconds: the command was carried out, and its answer comes late.
           const heldUp = this.chance(3) ? this.int(2000, 12_000) : 0;
@@ -476,7 +559,10 @@
 
   private takeAway(id: string): void {
     const w = this.workers.get(id);
-    if (w) w.gone = true;
+    if (w) {
+      w.gone = true;
+      for (const t of w.tasks) this.interrupt(t, false);
+    }
     this.workers.delete(id);
   }
 
@@ -492,7 +578,34 @@
     });
   }
 
-  private execute(w: Worker, orders: readonly Order[]): void {
+  private isOpen(id: string): boolean {
+    return this.store.jobs.has(id) && ![...this.aborts.values()].includes(id);
+  }
+
+  /** Tasks that were interrupted by decision, do not run again yet, and are still wanted. */
+  interruptedByDecision(): Interrupted[] {
+    const open: Interrupted[] = [];
+    for (const [name, interrupted] of this.interrupted) {
+      const wanted = this.isOpen(name.split('/')[0]!) && !this.doneReally.has(name);
+      if (wanted && interrupted.voluntary) open.push(interrupted);
+    }
+    return open;
+  }
+
+  private interrupt(t: Running, voluntary: boolean): void {
+    const name = `${t.job}/${t.index}`;
+    if (t.state === 'ended' || !this.isOpen(t.job) || this.doneReally.has(name)) return;
+    const { team, lane } = SPECS.get(t.job)!;
+    this.interrupted.set(name, { team, lane, voluntary });
+    if (voluntary) this.onVoluntaryStop(name);
+  }
+
+  /** A stop by decision, unless a notice is behind it or a leader of the other version. */
+  private noteStop(w: Worker, t: Running, byOld: boolean): void {
+    this.interrupt(t, w.noticeAt === null && !byOld);
+  }
+
+  private execute(w: Worker, orders: readonly Order[], byOld: boolean): void {
     for (const o of orders) {
       const held = w.tasks.find((t) => t.job === o.job && t.index === o.index);
       if (o.op === 'start') {
@@ -513,6 +626,7 @@
         if (t && t.state !== 'ended') {
           if (w.noticeAt !== null && this.store.jobs.has(t.job) && SPECS.get(t.job)!.shape === 'service')
             this.services.moves += 1;
+          this.noteStop(w, t, byOld);
           t.state = 'ended';
           t.cause = 'stopped';
         }
@@ -526,6 +640,7 @@
 
   private checkStart(w: Worker, id: string, index: number, attempt: number): void {
     this.starts += 1;
+    this.interrupted.delete(`${id}/${index}`);
     if (SPECS.get(id)!.shape === 'service') this.services.starts += 1;
     const name = `${id}/${index}`;
     const spec = SPECS.get(id)!;
@@ -647,7 +762,7 @@
           if (term > w.term) w.dueAt = Math.min(w.dueAt, this.now + 500);
           w.term = term;
           w.leaseFrom = sent.sentAt;
-          this.execute(w, orders);
+          this.execute(w, orders, to.old);
         });
       });
       to.queue.push({ kind: 'report', report: told, ticket: ticket as Ticket });
@@ -686,6 +801,16 @@
     }));
   }
 
+  /** Machines that are not lost go back empty. */
+  private checkReturns(leader: Leader, ids: readonly MachineId[]): void {
+    for (const id of ids) {
+      const known = leader.state.machines.get(id);
+      const given = !known || known.lostAt !== null || known.deaf || !known.everSeen;
+      if (!given && this.workers.get(id)?.tasks.some((t) => t.state !== 'ended'))
+        this.problems.push(`returned with work ${id}`);
+    }
+  }
+
   // ---- users and troubles ------------------------------------------------------------------------
 
   private submit(): void {
@@ -721,7 +846,8 @@
       if (spec.shape === 'service' && spec.team === owner) cpus += spec.tasks * spec.cpus;
     }
     if (cpus * 3 > TEAMS.find((t) => t.name === owner)!.cpusMax) return null;
-    const priority = this.chance(70) ? 'critical' : 'standard';
+    const critical = this.chance(70) && this.options.preemption !== false;
+    const priority = critical ? 'critical' : 'standard';
     // One that must be in one zone and spread over several could never run in full.
     const spread = this.chance(30) ? { scatter: true, zone: null } : { scatter: false };
     return {
@@ -1023,6 +1149,9 @@
     this.stateDownUntil = 0;
     this.stateSlowUntil = 0;
     this.lateWritesUntil = 0;
+    this.cloudDownUntil = 0;
+    this.noCapacityUntil = 0;
+    this.bootTroubleUntil = 0;
     if (!this.leader()) this.elect();
   }
 }
