--- /dev/null
+++ b/packages/drain/test/history-checker.ts
@@ -0,0 +1,39 @@
+/** Checks what the machines' own history says of budgets: not by what the code under test believes. */
+import type { TaskEvent } from '../../../test/stand-ins/cloud.js';
+
+/** The most tasks of each team that were stopped at a time and did not run again yet. */
+export const mostStoppedAtOnce = (
+  history: readonly TaskEvent[],
+  teamOf: (task: string) => string,
+): Map<string, number> => {
+  const open = new Map<string, Set<string>>();
+  const most = new Map<string, number>();
+  for (const { kind, task } of history) {
+    const team = teamOf(task);
+    const stopped = open.get(team) ?? new Set<string>();
+    open.set(team, stopped);
+    if (kind === 'stop') stopped.add(task);
+    else stopped.delete(task);
+    most.set(team, Math.max(most.get(team) ?? 0, stopped.size));
+  }
+  return most;
+};
+
+/** Tasks that ran on two machines at a time. */
+export const ranTwice = (history: readonly TaskEvent[]): string[] => {
+  const runs = new Map<string, string>();
+  const twice: string[] = [];
+  for (const { kind, task, machine } of history) {
+    if (kind !== 'start') {
+      if (runs.get(task) === machine) runs.delete(task);
+      continue;
+    }
+    if (runs.has(task)) twice.push(`${task} on ${runs.get(task)} and ${machine}`);
+    runs.set(task, machine);
+  }
+  return twice;
+};
+
+/** Tasks that were on a machine when it was returned. */
+export const lostWithMachines = (history: readonly TaskEvent[]): string[] =>
+  history.filter(({ kind }) => kind === 'lost').map(({ task }) => task);
--- a/test/stand-ins/cloud.ts
+++ b/test/stand-ins/cloud.ts
@@ -10,6 +10,14 @@
   Cause?: string;
 }
 
+/** What has happened to a task on a machine, by the machine's own word. */
+export interface TaskEvent {
+  readonly at: number;
+  readonly kind: 'start' | 'stop' | 'done' | 'lost';
+  readonly task: string;
+  readonly machine: string;
+}
+
 type Orders = { Baton: number; Orders: { Verb: string; Piece: string; Try: number }[] };
 
 class Worker {
@@ -30,7 +38,12 @@
     this.schedule(10);
   }
 
+  private note(kind: TaskEvent['kind'], task: string): void {
+    this.cloud.history.push({ at: Date.now(), kind, task, machine: this.name });
+  }
+
   stop(): void {
+    for (const task of this.running()) this.note('lost', task);
     this.gone = true;
     if (this.timer) clearTimeout(this.timer);
   }
@@ -78,12 +91,17 @@
         const task: Task = { Piece: o.Piece, Try: o.Try, Status: 'running' };
         this.tasks.set(o.Piece, task);
         this.cloud.starts.push(`${o.Piece}#${o.Try}`);
+        this.note('start', o.Piece);
+        const runMs = this.cloud.runMsOf(o.Piece);
+        if (runMs === null) continue;
         setTimeout(() => {
-          if (task.Status === 'ended') return;
+          if (task.Status === 'ended' || this.gone) return;
+          this.note('done', o.Piece);
           task.Status = 'ended';
           task.Cause = 'done';
-        }, this.cloud.taskMs);
+        }, runMs);
       } else if (o.Verb === 'kill' && held?.Try === o.Try && held.Status !== 'ended') {
+        this.note('stop', o.Piece);
         held.Status = 'ended';
         held.Cause = 'halted';
       } else if (o.Verb === 'reap' && held?.Try === o.Try && held.Status === 'ended')
@@ -132,6 +150,12 @@
   odd = false;
   givenUp = 0;
   readonly starts: string[] = [];
+  /** All that happened to tasks, in order. */
+  readonly history: TaskEvent[] = [];
+  /** Machines that were returned, in order. */
+  readonly returned: string[] = [];
+  /** How long a task runs; null: for ever. */
+  runMsOf: (task: string) => number | null = () => this.taskMs;
   readonly workers = new Map<string, Worker>();
   readonly hires = new Map<string, string[]>();
   private next = 0;
@@ -183,7 +207,7 @@
     if (path === '/machines/delete') {
       for (const name of (body as { Berths: string[] }).Berths) {
         this.workers.get(name)?.stop();
-        this.workers.delete(name);
+        if (this.workers.delete(name)) this.returned.push(name);
       }
       return sendJson(res, 200, {});
     }
