--- a/packages/drain/test/large-fleet.test.ts
+++ b/packages/drain/test/large-fleet.test.ts
@@ -1,21 +1,11 @@
 /** Planning for a fleet of 4,000 machines, with the work counted. */
+
 import { describe, expect, it } from 'vitest';
+import { CountingMap } from '../../../test/model/counting-map.js';
 import { DrainFleet, inZone } from './drain-fleet.js';
 
 const FLEET = 4000;
 
-/** Counts the machines that walks over the fleet look at. */
-class CountingMap<K, V> extends Map<K, V> {
-  visited = 0;
-
-  override *values(): MapIterator<V> {
-    for (const value of super.values()) {
-      this.visited += 1;
-      yield value;
-    }
-  }
-}
-
 describe('a drain of 4,000 machines', () => {
   it('looks at each machine a bounded number of times a step, keeps few records, and answers within a line', () => {
     const fleet = new DrainFleet(inZone(FLEET));
--- a/src/core/extension.ts
+++ b/src/core/extension.ts
@@ -12,6 +12,7 @@
   MachineId,
   MachineType,
   Millis,
+  Rental,
   RequestName,
   TaskIndex,
   Team,
@@ -144,14 +145,7 @@
   | { readonly kind: 'stop'; readonly machine: MachineId; readonly attempt: Attempt; readonly graceS: number }
   /** Returns a machine to the cloud once nothing is on it; cannot be taken back. */
   | { readonly kind: 'return'; readonly machine: MachineId }
-  | {
-      readonly kind: 'rent';
-      readonly request: RequestName;
-      readonly type: TypeName;
-      readonly zone: ZoneName;
-      readonly spot: boolean;
-      readonly count: number;
-    }
+  | ({ readonly kind: 'rent' } & Rental)
   /** Changes that are stored together or not at all; no more than `MOST_WRITES_TOGETHER`. */
   | { readonly kind: 'write'; readonly writes: readonly RecordWrite[] }
   | { readonly kind: 'answer'; readonly ticket: Ticket; readonly answer: OperatorAnswer }
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -259,6 +259,15 @@
     }
   | { readonly kind: 'tick' };
 
+/** Machines that are asked for, under a name that is never used again for others. */
+export interface Rental {
+  readonly request: RequestName;
+  readonly type: TypeName;
+  readonly zone: ZoneName;
+  readonly spot: boolean;
+  readonly count: number;
+}
+
 export type Effect =
   | { readonly kind: 'answer'; readonly ticket: Ticket; readonly orders: readonly Order[] | null }
   | { readonly kind: 'save'; readonly batch: number; readonly ops: readonly SaveOp[] }
@@ -270,14 +279,7 @@
       readonly tasks: number;
       readonly team: TeamName;
     }
-  | {
-      readonly kind: 'rent';
-      readonly request: RequestName;
-      readonly type: TypeName;
-      readonly zone: ZoneName;
-      readonly spot: boolean;
-      readonly count: number;
-    }
+  | ({ readonly kind: 'rent' } & Rental)
   | { readonly kind: 'delete'; readonly machines: readonly MachineId[] }
   | { readonly kind: 'operator-answer'; readonly ticket: Ticket; readonly answer: OperatorAnswer }
   | {
--- a/test/large-fleet.test.ts
+++ b/test/large-fleet.test.ts
@@ -10,6 +10,7 @@
 import type { MachineId, ReportedTask, Revision } from '../src/core/types.js';
 import { core, team } from './model/build.js';
 import { CoreDriver, running } from './model/core-driver.js';
+import { CountingMap } from './model/counting-map.js';
 import { cleanUp, cleanups } from './stand-ins/cluster.js';
 
 const FLEET = 4200;
@@ -17,18 +18,6 @@
 
 afterEach(cleanUp);
 
-/** Counts how many machines are looked at in walks over the fleet. */
-class CountingMap<K, V> extends Map<K, V> {
-  visited = 0;
-
-  override *values(): MapIterator<V> {
-    for (const value of super.values()) {
-      this.visited += 1;
-      yield value;
-    }
-  }
-}
-
 describe('a fleet of 4,200 machines', () => {
   it('is remembered whole by the report reader: unchanged tasks are checked once', () => {
     const reader = new ReportReader();
--- a/test/stand-ins/cloud.ts
+++ b/test/stand-ins/cloud.ts
@@ -27,6 +27,7 @@
   private readonly tasks = new Map<string, Task>();
   private timer: NodeJS.Timeout | null = null;
   private gone = false;
+  private readonly startedAt = new Map<string, number>();
 
   constructor(
     readonly name: string,
@@ -42,8 +43,15 @@
     this.cloud.history.push({ at: Date.now(), kind, task, machine: this.name });
   }
 
+  private ranMs(task: string): number {
+    return Date.now() - (this.startedAt.get(task) ?? Date.now());
+  }
+
   stop(): void {
-    for (const task of this.running()) this.note('lost', task);
+    for (const task of this.running()) {
+      this.note('lost', task);
+      this.cloud.interrupted(task, this.ranMs(task), false);
+    }
     this.gone = true;
     if (this.timer) clearTimeout(this.timer);
   }
@@ -79,7 +87,7 @@
       const named = this.cloud.names.indexOf(leader ?? '');
       this.at = named >= 0 ? named : this.at + 1;
     }
-    this.schedule(reply?.status === 200 ? 60 : 30);
+    this.schedule(reply?.status === 200 ? this.cloud.checkInMs : 30);
   }
 
   private execute(answer: Orders): void {
@@ -92,7 +100,8 @@
         this.tasks.set(o.Piece, task);
         this.cloud.starts.push(`${o.Piece}#${o.Try}`);
         this.note('start', o.Piece);
-        const runMs = this.cloud.runMsOf(o.Piece);
+        const runMs = this.cloud.leftMsOf(o.Piece);
+        this.startedAt.set(o.Piece, Date.now());
         if (runMs === null) continue;
         setTimeout(() => {
           if (task.Status === 'ended' || this.gone) return;
@@ -102,6 +111,7 @@
         }, runMs);
       } else if (o.Verb === 'kill' && held?.Try === o.Try && held.Status !== 'ended') {
         this.note('stop', o.Piece);
+        this.cloud.interrupted(o.Piece, this.ranMs(o.Piece), true);
         held.Status = 'ended';
         held.Cause = 'halted';
       } else if (o.Verb === 'reap' && held?.Try === o.Try && held.Status === 'ended')
@@ -154,6 +164,12 @@
   readonly history: TaskEvent[] = [];
   /** Machines that were returned, in order. */
   readonly returned: string[] = [];
+  /** What tasks that save have saved, and the run time of others that was lost. */
+  private readonly saved = new Map<string, number>();
+  redoneMs = 0;
+  savesOf: (task: string) => boolean = () => false;
+  /** Pause between the check-ins of a worker. */
+  checkInMs = 60;
   /** How long a task runs; null: for ever. */
   runMsOf: (task: string) => number | null = () => this.taskMs;
   readonly workers = new Map<string, Worker>();
@@ -167,6 +183,20 @@
     });
   }
 
+  /** What is left to run of a task. */
+  leftMsOf(task: string): number | null {
+    const runMs = this.runMsOf(task);
+    return runMs === null ? null : Math.max(0, runMs - (this.saved.get(task) ?? 0));
+  }
+
+  /** A task was stopped, or lost with its machine. */
+  interrupted(task: string, ranMs: number, stopped: boolean): void {
+    // A replica has no end that it could be short of.
+    if (this.runMsOf(task) === null) return;
+    if (stopped && this.savesOf(task)) this.saved.set(task, (this.saved.get(task) ?? 0) + ranMs);
+    else this.redoneMs += ranMs;
+  }
+
   async listen(): Promise<string> {
     await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
     return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
--- a/test/stand-ins/processes.ts
+++ b/test/stand-ins/processes.ts
@@ -108,5 +108,5 @@
     which.child.kill('SIGKILL');
     which.child = await spawnNode(processes.indexOf(which));
   };
-  return { state, cloud, processes, leader, killAndRestart };
+  return { state, cloud, cloudAt: outside.cloud, processes, leader, killAndRestart };
 };
