--- a/test/start-up.test.ts
+++ b/test/start-up.test.ts
@@ -1,34 +1,34 @@
 /** What the program loads until it serves: on a few hundredths of a core each module delays every start by milliseconds. */
 import { execFile, spawn } from 'node:child_process';
-import { mkdtemp, rm, writeFile } from 'node:fs/promises';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
+import { writeFile } from 'node:fs/promises';
+import { basename, join } from 'node:path';
 import { promisify } from 'node:util';
 import { afterAll, afterEach, beforeAll, describe, expect, it } from 'vitest';
 import { Cloud, post } from './stand-ins/cloud.js';
 import { body, cleanUp, cleanups, freePort, until } from './stand-ins/cluster.js';
+import { buildProgram } from './stand-ins/processes.js';
 import { settingsText } from './stand-ins/settings.js';
 import { StateService } from './stand-ins/state-service.js';
 
 const run = promisify(execFile);
 let directory = '';
+let remove = async (): Promise<void> => {};
 
 beforeAll(async () => {
-  directory = await mkdtemp(join(tmpdir(), 'robinspread-'));
-  const script = `import('./scripts/bundle.mjs').then(({ bundle }) => bundle(${JSON.stringify(directory)}))`;
-  await run(process.execPath, ['-e', script]);
-  // Writes what has been loaded when it is told to.
-  const spy = `process.on('SIGUSR2', () => process.stdout.write(JSON.stringify(process.moduleLoadList) + '\\n'));`;
+  ({ directory, remove } = await buildProgram());
+  // Writes what has been loaded when it is told to: Node's own modules, and files.
+  const loaded = 'JSON.stringify({ builtIns: process.moduleLoadList, files: Object.keys(require.cache) })';
+  const spy = `process.on('SIGUSR2', () => process.stdout.write(${loaded} + '\\n'));`;
   await writeFile(join(directory, 'spy.cjs'), spy);
 });
-afterAll(() => rm(directory, { recursive: true, force: true }));
+afterAll(() => remove());
 afterEach(cleanUp);
 
 const builtIns = (list: readonly string[]): string[] =>
   list.filter((name) => name.startsWith('NativeModule ')).map((name) => name.slice('NativeModule '.length));
 
 /** One controller as a process of its own, beside a state service and a cloud. */
-const startProcess = async () => {
+const startProcess = async (...more: string[]) => {
   const state = new StateService();
   const cloud = new Cloud(2);
   cleanups.push(
@@ -42,20 +42,30 @@
   const back = `127.0.0.1:${await freePort()}`;
   const settings = join(directory, 'settings.json');
   await writeFile(settings, settingsText({ api_addr: api, back, seeds: [], outside }));
-  const args = ['-r', join(directory, 'spy.cjs'), join(directory, 'main.cjs'), 'serve', '--config', settings];
+  const args = [
+    '-r',
+    join(directory, 'spy.cjs'),
+    join(directory, 'main.cjs'),
+    'serve',
+    '--config',
+    settings,
+    ...more,
+  ];
   const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'ignore'] });
   cleanups.push(() => child.kill('SIGKILL'));
   let told = '';
   child.stdout.on('data', (bytes: Buffer) => {
     told += bytes.toString();
   });
-  const loaded = async (): Promise<string[]> => {
+  const ask = async () => {
     told = '';
     child.kill('SIGUSR2');
     await until(() => told.endsWith('\n'));
-    return builtIns(JSON.parse(told) as string[]);
+    return JSON.parse(told) as { builtIns: string[]; files: string[] };
   };
-  return { api, loaded };
+  const loaded = async (): Promise<string[]> => builtIns((await ask()).builtIns);
+  const files = async (): Promise<string[]> => (await ask()).files.map((file) => basename(file)).sort();
+  return { api, state, loaded, files };
 };
 
 describe('the program', () => {
@@ -87,4 +97,17 @@
     expect((await post(api, '/nowhere', undefined, 'GET'))?.status).toBe(404);
     expect((await loaded()).filter(isNeedless)).toEqual([]);
   });
+
+  it('loads no package that no file enables, and writes no record of one', async () => {
+    const off = await startProcess();
+    await until(async () => (await post(off.api, '/up', undefined, 'GET'))?.status === 200);
+    expect(await off.files()).toEqual(['main.cjs', 'spy.cjs']);
+    expect((await post(off.api, '/api/drains', undefined, 'GET'))?.status).toBe(404);
+    expect((await post(off.api, '/api/jobs', body('job-1')))?.status).toBe(201);
+    await until(() => off.state.keys.has('f/job-1'));
+    expect([...off.state.keys.keys()].filter((key) => key.startsWith('x/'))).toEqual([]);
+    const on = await startProcess('--enable', 'deploy/drain.scm');
+    await until(async () => (await post(on.api, '/api/drains', undefined, 'GET'))?.status === 200);
+    expect(await on.files()).toEqual(['drain.cjs', 'main.cjs', 'spy.cjs']);
+  });
 });
