--- a/packages/drain/src/core/drains.ts
+++ b/packages/drain/src/core/drains.ts
@@ -13,21 +13,14 @@
   RecordWrite,
 } from '@robinspread/extension-api';
 import { BudgetLedger, type Disruption } from './budget.js';
-import { HeadGuard } from './head-check.js';
+import { DisruptionRecords } from './disruption-records.js';
 import { Progress } from './progress.js';
 import { RecordStore } from './record-store.js';
-import {
-  disruptionsKey,
-  drainKey,
-  machineKey,
-  readState,
-  writeDisruptions,
-  writeDrain,
-  writeMachine,
-} from './records.js';
+import { drainKey, machineKey, readState, writeDrain, writeMachine } from './records.js';
 import { Replacements } from './replacements.js';
-import { byDisturbance, isBeingLost, isGoing, membersOf, workOn } from './selection.js';
+import { isBeingLost, workOn } from './selection.js';
 import type { DrainSettings } from './settings.js';
+import { chooseStep } from './step-choice.js';
 import type { Turn } from './turn.js';
 import type { Blocker, Drain, DrainName, MachineDrain } from './types.js';
 
@@ -39,8 +32,6 @@
 const SCAN_MS = 500;
 /** Where no machine could be taken, the fleet is looked through again after this long. */
 const STEP_RETRY_MS = 2000;
-/** Of a value, how much rows of one record may fill. */
-const RECORD_SHARE = 0.9;
 
 const isBlocker = (result: Disruption | Blocker): result is Blocker => 'kind' in result;
 
@@ -54,9 +45,7 @@
   readonly unreadable = new Set<DrainName>();
   private readonly store = new RecordStore();
   private readonly replacements: Replacements;
-  /** Keys of the stored disruption records. */
-  private readonly disruptionRecords = new Set<string>();
-  private nextRecord = 1;
+  private readonly records: DisruptionRecords;
   /** Replicas that would be moved off machines that leave for other reasons than a drain. */
   private readonly wishes = new Map<Attempt, AttemptView>();
   private readonly lost: string[] = [];
@@ -68,6 +57,7 @@
     this.budget = new BudgetLedger(settings);
     this.progress = new Progress(settings.stalledAfterS);
     this.replacements = new Replacements(settings);
+    this.records = new DisruptionRecords(this.budget, this.store);
   }
 
   // ---- what was stored ---------------------------------------------------------------------------
@@ -76,10 +66,7 @@
   load(records: readonly ExtensionRecord[]): void {
     const stored = readState(records);
     for (const [name, drain] of stored.drains) this.all.set(name, drain);
-    for (const disruption of stored.disruptions) {
-      this.budget.disruptions.set(disruption.attempt, disruption);
-      if (disruption.record !== null) this.disruptionRecords.add(disruption.record);
-    }
+    this.records.load(stored.disruptions);
     this.lost.push(...stored.lost);
     for (const name of stored.unreadable) this.setAside(name);
   }
@@ -110,7 +97,7 @@
       }
       case 'stored':
         this.store.settled(event.writes);
-        for (const { key } of event.writes) this.onStored(key, moment);
+        for (const { key } of event.writes) this.records.stored(key, moment);
         return [];
       case 'refused':
         this.store.settled(event.writes);
@@ -133,18 +120,9 @@
     else this.budget.withdraw(attempt.entry.attempt);
   }
 
-  private onStored(key: string, moment: Moment): void {
-    for (const disruption of this.budget.disruptions.values()) {
-      if (disruption.record === key) this.budget.grant(disruption, moment);
-    }
-  }
-
   /** The state service takes it in no size. */
   private onRefused(key: string): void {
-    for (const disruption of this.budget.disruptions.values()) {
-      if (disruption.record === key) this.budget.withdraw(disruption.attempt);
-    }
-    this.disruptionRecords.delete(key);
+    this.records.refused(key);
     for (const drain of this.all.values()) {
       const { name } = drain.request;
       const its = key === drainKey(name) || key.startsWith(machineKey(name, '' as MachineId));
@@ -201,8 +179,7 @@
     for (const attempt of this.wishes.values()) this.budget.request(attempt, turn.fleet, turn.moment);
     this.wishes.clear();
     for (const drain of this.all.values()) this.advance(drain, turn);
-    this.storeDisruptions(turn);
-    this.dropDisruptionRecords(turn);
+    this.records.update(turn);
   }
 
   private reportLost({ requests }: Turn): void {
@@ -394,12 +371,6 @@
 
   // ---- steps -------------------------------------------------------------------------------------
 
-  stepSizeOf({ request, total }: Drain): number {
-    const { stepSize } = request;
-    if (stepSize.kind === 'count') return stepSize.count;
-    return Math.max(1, Math.floor(stepSize.share * total));
-  }
-
   private beginStep(drain: Drain, turn: Turn): void {
     const { name } = drain.request;
     if (turn.moment.now < (this.nextStepAt.get(name) ?? 0)) {
@@ -412,12 +383,13 @@
       this.progress.block(drain, { kind: 'work-runs-again', tasks: waiting });
       return;
     }
-    const members = membersOf(drain, turn.fleet, turn.moment);
-    if (members.length === 0) {
+    const inUse = (machine: MachineId) => this.drainOf(machine) !== null || this.isReplacement(machine);
+    const { left, chosen, blocker } = chooseStep(drain, this.settings.letEndS, inUse, turn);
+    if (left === 0) {
       this.setPhase(drain, 'done', null, turn);
       return;
     }
-    const chosen = this.choose(drain, members, turn);
+    if (blocker) this.progress.block(drain, blocker);
     if (chosen.length === 0) {
       this.nextStepAt.set(name, turn.moment.now + STEP_RETRY_MS);
       return;
@@ -427,32 +399,6 @@
     for (const machine of chosen) this.take(drain, machine, turn);
   }
 
-  /** The machines of the next step; what keeps others from being taken is noted. */
-  private choose(drain: Drain, members: readonly MachineView[], turn: Turn): MachineView[] {
-    // Of a machine that has not reported to this leader only a former leader's ledger, or a list that lags, may tell.
-    const free = members.filter(
-      (m) =>
-        m.everSeen && !isGoing(m) && !m.cordoned && this.drainOf(m.id) === null && !this.isReplacement(m.id),
-    );
-    if (free.length === 0) {
-      this.progress.block(drain, { kind: 'busy-elsewhere', machines: members.length });
-      return [];
-    }
-    const chosen: MachineView[] = [];
-    const guard = drain.request.replace ? null : new HeadGuard(turn.fleet);
-    for (const { machine } of byDisturbance(free, this.settings.letEndS, turn.moment)) {
-      if (chosen.length >= this.stepSizeOf(drain)) break;
-      const blocker = guard?.blocker(machine.id);
-      if (blocker) {
-        this.progress.block(drain, blocker);
-        continue;
-      }
-      chosen.push(machine);
-      guard?.letGo(machine.id);
-    }
-    return chosen;
-  }
-
   private take(drain: Drain, { id }: MachineView, turn: Turn): void {
     const { replace } = drain.request;
     const machineDrain: MachineDrain = {
@@ -467,44 +413,6 @@
     turn.requests.push(this.store.write(this.machineWrite(drain, machineDrain)));
   }
 
-  // ---- records of disruptions --------------------------------------------------------------------
-
-  /** Disruptions that no record tells of yet, in as few records as hold them. */
-  private storeDisruptions(turn: Turn): void {
-    let rows: Disruption[] = [];
-    let bytes = 2;
-    const most = turn.fleet.valueBytes * RECORD_SHARE;
-    const flush = () => {
-      if (rows.length === 0) return;
-      const key = disruptionsKey(turn.fleet.term, this.nextRecord);
-      this.nextRecord += 1;
-      for (const row of rows) row.record = key;
-      this.disruptionRecords.add(key);
-      turn.requests.push(this.store.write({ key, value: writeDisruptions(rows) }));
-      rows = [];
-      bytes = 2;
-    };
-    for (const disruption of this.budget.disruptions.values()) {
-      if (disruption.record !== null) continue;
-      const size = Buffer.byteLength(JSON.stringify(writeDisruptions([disruption])));
-      if (bytes + size > most) flush();
-      rows.push(disruption);
-      bytes += size;
-    }
-    flush();
-  }
-
-  /** Records of which nothing counts any more. */
-  private dropDisruptionRecords(turn: Turn): void {
-    const live = new Set<string | null>();
-    for (const { record } of this.budget.disruptions.values()) live.add(record);
-    for (const key of this.disruptionRecords) {
-      if (live.has(key) || !this.store.isStored(key)) continue;
-      this.disruptionRecords.delete(key);
-      turn.requests.push(this.store.write({ key, value: null }));
-    }
-  }
-
   // ---- operators ---------------------------------------------------------------------------------
 
   /** Takes up a new drain; finished ones beyond those that are kept are forgotten. */
--- a/packages/drain/src/core/plan.ts
+++ b/packages/drain/src/core/plan.ts
@@ -3,6 +3,7 @@
 import { HeadGuard } from './head-check.js';
 import { byDisturbance, type Disturbance, isGoing, membersOf } from './selection.js';
 import type { DrainSettings } from './settings.js';
+import { stepSizeOf } from './step-choice.js';
 import type { Turn } from './turn.js';
 import { type Blocker, type Drain, describeBlocker } from './types.js';
 import { LISTED_MACHINES } from './views.js';
@@ -35,7 +36,7 @@
 export const planOf = (drains: Drains, drain: Drain, settings: DrainSettings, turn: Turn) => {
   const members = membersOf(drain, turn.fleet, turn.moment);
   const order = byDisturbance(members, settings.letEndS, turn.moment);
-  const size = drains.stepSizeOf(drain);
+  const size = stepSizeOf(drain);
   const guard = drain.request.replace ? null : new HeadGuard(turn.fleet);
   return {
     machines: members.length,
--- a/src/core/backfill.ts
+++ b/src/core/backfill.ts
@@ -15,12 +15,13 @@
   tasksWithinLimit,
   zoneAllows,
 } from './capacity.js';
+import { failsEverywhere, SUSPECT_MACHINES } from './job-state.js';
 import { NO_MACHINE, placeJob, TEAM_LIMIT } from './placement.js';
 import { preemptForHead, preemptForReplicas } from './preemption.js';
 import { type Ranked, rankJobs } from './rank.js';
 import { reserveForHead } from './reservation.js';
 import { goesFirst, keepMachines, moveAway, replicasToMove } from './services.js';
-import { type CoreState, failsEverywhere, type Job, type Placement, SUSPECT_MACHINES } from './state.js';
+import type { CoreState, Job, Placement } from './state.js';
 import { type Instant, isService, PRIORITY_LEVEL, type TypeName } from './types.js';
 
 export interface Round {
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -1,8 +1,11 @@
 /**
  * What machines have free in one scheduling round, which jobs may use it, and what a team's limit still allows.
  */
+
+import { SUSPECT_MACHINES } from './job-state.js';
+import { usable } from './machine-state.js';
 import type { Ranked } from './rank.js';
-import { type CoreState, type Job, type Machine, type Placement, SUSPECT_MACHINES, usable } from './state.js';
+import type { CoreState, Job, Machine, Placement } from './state.js';
 import { type Instant, isService, type MachineType } from './types.js';
 
 /** A machine's free capacity: what is free now, and what the head's reservation leaves free at the shadow time. */
--- a/src/core/extension-host.ts
+++ b/src/core/extension-host.ts
@@ -14,8 +14,9 @@
   OperatorCall,
   RecordWrite,
 } from './extension.js';
+import { isDone } from './job-state.js';
 import { logEvent } from './log-event.js';
-import { type CoreState, isDone } from './state.js';
+import type { CoreState } from './state.js';
 import type { Effect, Instant, JobId, MachineId, RequestName, TaskIndex, Ticket } from './types.js';
 
 /** Where extensions keep their records in the state service. */
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -1,19 +1,11 @@
 /** Jobs: their arrival, their end, and what happens to their tasks. */
-import { quarantine } from './fleet.js';
+
+import { chunkOf, failsEverywhere, isDone, newJob, SUSPECT_MACHINES } from './job-state.js';
 import { logEvent } from './log-event.js';
 import { sendKills } from './orders.js';
-import {
-  type CoreState,
-  chunkOf,
-  failsEverywhere,
-  isDone,
-  type Job,
-  leaveChunkSegment,
-  type Machine,
-  newJob,
-  type Placement,
-  SUSPECT_MACHINES,
-} from './state.js';
+import { quarantine } from './returns.js';
+import { leaveChunkSegment } from './segments.js';
+import type { CoreState, Job, Machine, Placement } from './state.js';
 import { type Effect, type Instant, type JobId, later, type Millis, seconds, type Ticket } from './types.js';
 
 /** Longer than a read, a watch or an unanswered write can be under way. */
--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -1,24 +1,12 @@
 /** The placement ledger and all else that the leader stores, in batches; and its reading by a new leader. */
 
+import { release } from './attempts.js';
 import { MOST_WRITES_TOGETHER } from './extension.js';
+import { chunkOf, isDone, recountPending } from './job-state.js';
 import { finishSaved } from './jobs.js';
 import { adopt, ensureMachine } from './reports.js';
-import {
-  type Batch,
-  type CoreState,
-  chunkOf,
-  isDone,
-  type Job,
-  leaveChunkSegment,
-  leaveSegment,
-  openSegment,
-  type Placement,
-  recordBytes,
-  recountPending,
-  release,
-  type Segment,
-  segmentKey,
-} from './state.js';
+import { leaveChunkSegment, leaveSegment, openSegment, recordBytes, segmentKey } from './segments.js';
+import type { Batch, CoreState, Job, Placement, Segment } from './state.js';
 import {
   type Attempt,
   type Command,
--- a/src/core/orders.ts
+++ b/src/core/orders.ts
@@ -1,6 +1,8 @@
 /** What workers are told: in answers to check-ins, and directly where it must not wait. */
+
+import { usable } from './machine-state.js';
 import { isReplica } from './services.js';
-import { type CoreState, type Machine, type Placement, usable } from './state.js';
+import type { CoreState, Machine, Placement } from './state.js';
 import type { Authority, Effect, Instant, Order } from './types.js';
 
 /** A check-in waits at most this long for the ledger entries of its starts. */
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -1,4 +1,6 @@
 /** Placing the waiting tasks of one job: on which machines, in which order, and within which bounds. */
+
+import { ATTEMPTS_PER_REVISION, addPlacement, hasAttemptLeft } from './attempts.js';
 import {
   EPSILON,
   type FreeCapacity,
@@ -12,17 +14,9 @@
   zoneAllows,
 } from './capacity.js';
 import { runMs } from './estimates.js';
+import { failsEverywhere, takePending } from './job-state.js';
 import { capacitiesForReplicas } from './services.js';
-import {
-  ATTEMPTS_PER_REVISION,
-  addPlacement,
-  type CoreState,
-  failsEverywhere,
-  hasAttemptLeft,
-  type Job,
-  type Placement,
-  takePending,
-} from './state.js';
+import type { CoreState, Job, Placement } from './state.js';
 import { type Attempt, type Instant, isService, type LedgerEntry } from './types.js';
 
 export const TEAM_LIMIT = 'team limit';
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -1,6 +1,8 @@
 /** The two exceptions to running tasks to their end: for an urgent head, and for replicas of critical services. */
+
+import { occupies } from './attempts.js';
 import { type FreeCapacity, fitsIn, mayUseMachine, resourcesWithout, zoneAllows } from './capacity.js';
-import { type Job, occupies, type Placement } from './state.js';
+import type { Job, Placement } from './state.js';
 import { type Instant, isService, PRIORITY_LEVEL } from './types.js';
 
 /** Shorter runs are not cut: a start that is stopped so soon is of no use. */
--- a/src/core/reports.ts
+++ b/src/core/reports.ts
@@ -1,20 +1,11 @@
 /** What workers report, and what it proves. */
 
+import { addPlacement, occupies, release } from './attempts.js';
+import { isDone } from './job-state.js';
 import { markDone, noteFailure, noteReplicaEnd } from './jobs.js';
 import { logEvent } from './log-event.js';
-import {
-  addPlacement,
-  type CoreState,
-  isDone,
-  isQuiet,
-  type Machine,
-  newMachine,
-  occupies,
-  type Placement,
-  release,
-  type Segment,
-  UNHEARD_STOPS,
-} from './state.js';
+import { isQuiet, newMachine, UNHEARD_STOPS } from './machine-state.js';
+import type { CoreState, Machine, Placement, Segment } from './state.js';
 import {
   type Effect,
   type Instant,
--- a/src/core/reservation.ts
+++ b/src/core/reservation.ts
@@ -1,7 +1,9 @@
 /** The head's reservation: what it misses is set aside up to the shadow time. */
+
+import { occupies } from './attempts.js';
 import { type FreeCapacity, fitsShadow, mayUseMachine, takeShadow, zoneAllows } from './capacity.js';
 import { estimatedEnd } from './estimates.js';
-import { type Job, occupies, type Placement } from './state.js';
+import type { Job, Placement } from './state.js';
 import type { Instant } from './types.js';
 
 /** Lets the running attempts end in the order of their estimates until the head's missing tasks fit. */
--- a/src/core/services.ts
+++ b/src/core/services.ts
@@ -3,14 +3,10 @@
  * could be estimated, so that the ordinary path of backfilling, which lives on estimated ends, has no place for them: see
  * docs/design.md, "Services".
  */
-import {
-  type CoreState,
-  failsEverywhere,
-  type Job,
-  type Machine,
-  occupies,
-  type Placement,
-} from './state.js';
+
+import { occupies } from './attempts.js';
+import { failsEverywhere } from './job-state.js';
+import type { CoreState, Job, Machine, Placement } from './state.js';
 import { type ImageName, type Instant, isService, PRIORITY_LEVEL, seconds } from './types.js';
 
 /** Replicas of critical services go ahead of the queue; those of others wait in it. */
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -1,13 +1,15 @@
 /** The core's one entry: commands in, effects out. No input or output, no clock, no randomness. */
 import { placeWaitingReplicas, type Round, runRound } from './backfill.js';
-import { deleted, listed, manageFleet, rented, setTypes } from './fleet.js';
+import { deleted, listed, manageFleet, setTypes } from './fleet.js';
 import { abortJob, addJob } from './jobs.js';
 import { everyLeaseOver } from './leases.js';
 import { nextBatch, onLedger, onProgress, onSaved } from './ledger.js';
 import { logEvent } from './log-event.js';
 import { answerTickets, ofEndedJob, sendKills } from './orders.js';
+import { rented } from './rentals.js';
 import { onReport } from './reports.js';
-import { type CoreState, settleSegment } from './state.js';
+import { settleSegment } from './segments.js';
+import type { CoreState } from './state.js';
 import { type Authority, type Command, type Effect, type Instant, later, type Millis } from './types.js';
 
 const TICK_MS = 500;
--- a/src/core/view.ts
+++ b/src/core/view.ts
@@ -1,7 +1,8 @@
 /** What users and teams are told of a job: its state, and why it waits. */
 import { rankWaiting } from './backfill.js';
 import { tasksWithinLimit } from './capacity.js';
-import { type CoreState, failsEverywhere, type Job } from './state.js';
+import { failsEverywhere } from './job-state.js';
+import type { CoreState, Job } from './state.js';
 import type { Instant, JobId, Outcome, Shape, TeamName } from './types.js';
 
 export interface CoreJobView {
--- a/src/service/records.ts
+++ b/src/service/records.ts
@@ -1,7 +1,8 @@
 /** What the state service holds, and under which keys. Every record read back is checked. */
 import * as v from 'valibot';
 import { EXTENSIONS } from '../core/extension-host.js';
-import { BLOCK_TASKS, SEGMENTS } from '../core/state.js';
+import { BLOCK_TASKS } from '../core/job-state.js';
+import { SEGMENTS } from '../core/segments.js';
 import type {
   Attempt,
   JobId,
--- a/test/backfill.test.ts
+++ b/test/backfill.test.ts
@@ -1,9 +1,12 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { DEFAULT_POLICY } from '../src/adapters/settings.js';
+import { addPlacement, release } from '../src/core/attempts.js';
 import { runRound } from '../src/core/backfill.js';
+import { newJob, takePending } from '../src/core/job-state.js';
+import { newMachine } from '../src/core/machine-state.js';
 import { deadlineScore } from '../src/core/rank.js';
-import { addPlacement, newJob, newMachine, type Placement, release, takePending } from '../src/core/state.js';
+import type { Placement } from '../src/core/state.js';
 import {
   type Attempt,
   type Instant,
--- a/test/compound-failures.test.ts
+++ b/test/compound-failures.test.ts
@@ -1,6 +1,6 @@
 /** Two troubles that meet, told as stories to the core; docs/compound-failures.md lists which test brings about which. */
 import { describe, expect, it } from 'vitest';
-import { segmentKey } from '../src/core/state.js';
+import { segmentKey } from '../src/core/segments.js';
 import { step } from '../src/core/step.js';
 import type {
   Effect,
--- a/test/large-fleet.test.ts
+++ b/test/large-fleet.test.ts
@@ -6,7 +6,7 @@
 import { ReportReader } from '../src/adapters/report-reader.js';
 import { parseEndpoint } from '../src/adapters/settings.js';
 import { StateClient } from '../src/adapters/state-client.js';
-import { ATTEMPTS_PER_REVISION } from '../src/core/state.js';
+import { ATTEMPTS_PER_REVISION } from '../src/core/attempts.js';
 import type { MachineId, ReportedTask, Revision } from '../src/core/types.js';
 import { core, team } from './model/build.js';
 import { CoreDriver, running } from './model/core-driver.js';
--- a/test/ledger.test.ts
+++ b/test/ledger.test.ts
@@ -1,6 +1,6 @@
 /** The placement ledger: what it holds, and what becomes of it. */
 import { describe, expect, it } from 'vitest';
-import { segmentKey } from '../src/core/state.js';
+import { segmentKey } from '../src/core/segments.js';
 import { step } from '../src/core/step.js';
 import type {
   Command,
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -4,7 +4,8 @@
 import { Jitter } from '../src/adapters/random.js';
 import { parseSettings, SettingsError } from '../src/adapters/settings.js';
 import { StateClient } from '../src/adapters/state-client.js';
-import { type CoreState, segmentKey } from '../src/core/state.js';
+import { segmentKey } from '../src/core/segments.js';
+import type { CoreState } from '../src/core/state.js';
 import { step } from '../src/core/step.js';
 import type {
   Command,
--- a/test/persister.test.ts
+++ b/test/persister.test.ts
@@ -1,7 +1,7 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import { Jitter } from '../src/adapters/random.js';
 import { StateClient } from '../src/adapters/state-client.js';
-import { segmentKey } from '../src/core/state.js';
+import { segmentKey } from '../src/core/segments.js';
 import type { JobId, Revision, SaveOp, Term } from '../src/core/types.js';
 import { Persister } from '../src/service/persister.js';
 import { cleanUp, cleanups, log } from './stand-ins/cluster.js';
--- a/test/refusal-then-outage.test.ts
+++ b/test/refusal-then-outage.test.ts
@@ -5,7 +5,7 @@
 import fc from 'fast-check';
 import { afterEach, describe, expect, it } from 'vitest';
 import { keepAliveFor } from '../src/core/leases.js';
-import { segmentKey } from '../src/core/state.js';
+import { segmentKey } from '../src/core/segments.js';
 import { step } from '../src/core/step.js';
 import {
   type Authority,
--- a/test/services.test.ts
+++ b/test/services.test.ts
@@ -1,7 +1,7 @@
 /** Standing services: replicas that run until their job is cancelled. */
 import { describe, expect, it } from 'vitest';
 import { runRound } from '../src/core/backfill.js';
-import { segmentKey } from '../src/core/state.js';
+import { segmentKey } from '../src/core/segments.js';
 import { step } from '../src/core/step.js';
 import type {
   Command,
--- a/test/troubles.test.ts
+++ b/test/troubles.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { segmentKey } from '../src/core/state.js';
+import { segmentKey } from '../src/core/segments.js';
 import { step } from '../src/core/step.js';
 import type { Effect, Instant, JobId, MachineId, Term, Ticket } from '../src/core/types.js';
 import { explainJob, viewJob } from '../src/core/view.js';
--- a/test/versions.test.ts
+++ b/test/versions.test.ts
@@ -6,7 +6,7 @@
 import * as v from 'valibot';
 import { describe, expect, it } from 'vitest';
 import { encodeFrame, FrameReader } from '../src/adapters/peer-link.js';
-import { BLOCK_TASKS } from '../src/core/state.js';
+import { BLOCK_TASKS } from '../src/core/job-state.js';
 import { step } from '../src/core/step.js';
 import type { Command, Instant, JobId, MachineType, SegmentKey, Term } from '../src/core/types.js';
 import { viewJob } from '../src/core/view.js';
