Drains: plain models of the planner's order and of the budgets, compared on drawn fleets

Need: a slow plain model beside the real planner and ledger. Change: packages/drain/test/plain-model; 500 drawn fleets, 1,500 drawn histories of a team and a class with counts, shares and windows.

--- /dev/null
+++ b/packages/drain/test/plain-model.test.ts
@@ -0,0 +1,173 @@
+/** The planner's order and the budget ledger against their plain models, on drawn fleets and histories. */
+import type {
+  AttemptView,
+  FleetView,
+  JobId,
+  JobView,
+  MachineView,
+  Moment,
+  TaskIndex,
+} from '@robinspread/extension-api';
+import * as fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { job } from '../../../test/model/build.js';
+import { BudgetLedger } from '../src/core/budget.js';
+import { byDisturbance } from '../src/core/selection.js';
+import { hasRoom, type PlainDisruption, type PlainLimits, takenBefore } from './plain-model.js';
+import { settingsOf } from './settings.js';
+
+const LET_END_S = 30;
+const moment = (now: number): Moment => ({ now, timeOfDay: now }) as Moment;
+
+const attempt = fc.record({
+  phase: fc.constantFrom('offered', 'fetching', 'running', 'saving', 'ended'),
+  startedAt: fc.option(fc.integer({ min: 0, max: 100_000 })),
+  kill: fc.option(fc.constant({ graceS: 5 }), { freq: 8 }),
+  superseded: fc.boolean().map((yes) => yes && false),
+  job: fc.option(
+    fc.record({
+      final: fc.constantFrom('none', 'none', 'none', 'done'),
+      spec: fc.record({
+        shape: fc.constantFrom('array', 'array', 'service'),
+        estimateS: fc.integer({ min: 0, max: 300 }),
+        checkpointS: fc.constantFrom(0, 5),
+      }),
+    }),
+    { freq: 8 },
+  ),
+});
+
+const machines = fc.array(fc.array(attempt, { maxLength: 4 }), { minLength: 1, maxLength: 8 }).map((all) =>
+  all.map((attempts, i) => ({
+    id: `n-${i}`,
+    placements: new Map(attempts.map((a, n) => [n, a])),
+  })),
+) as fc.Arbitrary<unknown> as fc.Arbitrary<MachineView[]>;
+
+describe('the order in which machines are taken', () => {
+  it('is that of the plain model', () => {
+    fc.assert(
+      fc.property(machines, (drawn) => {
+        const now = 100_000;
+        const order = byDisturbance(drawn, LET_END_S, moment(now)).map(({ machine }) => machine);
+        expect(order).toHaveLength(drawn.length);
+        for (let i = 1; i < order.length; i += 1) {
+          expect(takenBefore(order[i - 1]!, order[i]!, LET_END_S, now)).toBe(true);
+        }
+      }),
+      { numRuns: 500 },
+    );
+  });
+});
+
+/** A team's tasks: on a machine, stopped, or running again; enough of a fleet for the ledger. */
+class Tasks {
+  readonly jobs = new Map<JobId, JobView>();
+  private readonly held = new Map<TaskIndex, AttemptView[]>();
+  private attempts = 0;
+
+  constructor(count: number) {
+    const spec = job('job-1', { tasks: count, lane: 'settle' });
+    const view = { spec, pending: 0, held: this.held, final: 'none' } as unknown as JobView;
+    this.jobs.set('job-1' as JobId, view);
+    for (let i = 0; i < count; i += 1) this.run(i);
+  }
+
+  /** The task runs, under a new attempt. */
+  run(index: number): void {
+    this.attempts += 1;
+    const entry = { job: 'job-1', index, attempt: this.attempts };
+    const view = { entry, job: this.jobs.get('job-1' as JobId), phase: 'running', kill: null };
+    this.held.set(index as TaskIndex, [view as unknown as AttemptView]);
+  }
+
+  stop(index: number): void {
+    this.held.delete(index as TaskIndex);
+  }
+
+  attemptOf(index: number): AttemptView | null {
+    return this.held.get(index as TaskIndex)?.[0] ?? null;
+  }
+
+  get onMachines(): number {
+    return this.held.size;
+  }
+
+  get fleet(): FleetView {
+    return { jobs: this.jobs, isDone: () => false, teams: new Map() } as unknown as FleetView;
+  }
+}
+
+const TASKS = 12;
+const action = fc.oneof(
+  fc.record({
+    kind: fc.constantFrom('disrupt', 'again', 'suffer'),
+    index: fc.integer({ min: 0, max: TASKS - 1 }),
+  }),
+  fc.record({ kind: fc.constant('wait'), index: fc.integer({ min: 100, max: 40_000 }) }),
+);
+const limits = fc.record({
+  count: fc.option(fc.integer({ min: 0, max: 6 })),
+  share: fc.option(fc.constantFrom(0.1, 0.25, 0.5, 0.75, 1)),
+  window: fc.option(
+    fc.record({ seconds: fc.integer({ min: 5, max: 60 }), count: fc.integer({ min: 0, max: 6 }) }),
+  ),
+});
+
+const written = (l: PlainLimits): string =>
+  [
+    l.count === null ? '' : `(at-once ${l.count})`,
+    l.share === null ? '' : `(at-once-share ${l.share})`,
+    l.window === null ? '' : `(within ${l.window.seconds} ${l.window.count})`,
+  ].join(' ');
+
+describe('the budget ledger', () => {
+  it('grants just what the plain model has room for, over drawn histories of a team and its class', () => {
+    let granted = 0;
+    let refused = 0;
+    fc.assert(
+      fc.property(
+        limits,
+        limits,
+        fc.array(action, { minLength: 10, maxLength: 60, size: 'max' }),
+        (team, lane, actions) => {
+          const file = `(drain (budgets (team blue ${written(team)} (class settle ${written(lane)} ))))`;
+          const inner = written(lane).trim() === '' ? file.replace(/\(class.*\)\)\)\)$/, ')))') : file;
+          const ledger = new BudgetLedger(settingsOf(inner));
+          const tasks = new Tasks(TASKS);
+          const list: (PlainDisruption & { index: number })[] = [];
+          let now = 1_000_000;
+          for (const { kind, index } of actions) {
+            if (kind === 'wait') now += index;
+            ledger.update(tasks.fleet, moment(now));
+            const on = tasks.attemptOf(index);
+            const openHere = list.find((d) => d.open && d.index === index);
+            if (kind === 'again' && openHere && !on) {
+              tasks.run(index);
+              openHere.open = false;
+            } else if (kind === 'suffer' && on) {
+              ledger.suffer(on, moment(now));
+              tasks.stop(index);
+              list.push({ team: 'blue', lane: 'settle', at: now, open: true, index });
+            } else if (kind === 'disrupt' && on) {
+              const room = [team, lane].every((l) => hasRoom(l, list, tasks.onMachines, 0, now));
+              const result = ledger.request(on, tasks.fleet, moment(now));
+              const isGrant = result !== null && 'phase' in result;
+              expect(isGrant, JSON.stringify({ team, lane, list, result, now })).toBe(room);
+              if (isGrant) granted += 1;
+              else refused += 1;
+              if (!isGrant) continue;
+              ledger.grant(result, moment(now));
+              tasks.stop(index);
+              list.push({ team: 'blue', lane: 'settle', at: now, open: true, index });
+            }
+            ledger.update(tasks.fleet, moment(now));
+          }
+        },
+      ),
+      { numRuns: 1500 },
+    );
+    expect(granted).toBeGreaterThan(500);
+    expect(refused).toBeGreaterThan(500);
+  });
+});
--- /dev/null
+++ b/packages/drain/test/plain-model.ts
@@ -0,0 +1,74 @@
+/** Slow and plain: what the planner's order and the budgets mean, written down directly, for comparison with the real ones. */
+import type { AttemptView, MachineView } from '@robinspread/extension-api';
+
+/** What a task needs to leave its machine, by the letter of the design note. */
+const wayOut = (a: AttemptView, letEndS: number, now: number): 'ends' | 'saves' | 'moves' | 'leaving' => {
+  const { job } = a;
+  if (a.kill !== null || job === null || job.final !== 'none' || a.superseded) return 'leaving';
+  if (job.spec.shape === 'service') return 'moves';
+  const ran = a.startedAt === null ? 0 : now - a.startedAt;
+  const left = Math.max(0, job.spec.estimateS * 1000 - ran);
+  return job.spec.checkpointS > 0 && left > letEndS * 1000 ? 'saves' : 'ends';
+};
+
+const lastEnd = (machine: MachineView, letEndS: number, now: number): number => {
+  let last = 0;
+  for (const a of machine.placements.values()) {
+    if (a.phase === 'ended' || wayOut(a, letEndS, now) !== 'ends') continue;
+    const ran = a.startedAt === null ? 0 : now - a.startedAt;
+    last = Math.max(last, a.job!.spec.estimateS * 1000 - ran);
+  }
+  return Math.max(0, last);
+};
+
+/** True when the first machine is to be taken before the second. */
+export const takenBefore = (one: MachineView, other: MachineView, letEndS: number, now: number): boolean => {
+  const ways = (m: MachineView) =>
+    [...m.placements.values()].filter((a) => a.phase !== 'ended').map((a) => wayOut(a, letEndS, now));
+  const rank = (m: MachineView) => {
+    const all = ways(m);
+    if (all.length === 0) return 0;
+    return all.every((way) => way === 'saves' || way === 'leaving') ? 1 : 2;
+  };
+  if (rank(one) !== rank(other)) return rank(one) < rank(other);
+  const ends = [lastEnd(one, letEndS, now), lastEnd(other, letEndS, now)] as const;
+  if (ends[0] !== ends[1]) return ends[0] < ends[1];
+  const moves = [one, other].map((m) => ways(m).filter((way) => way === 'moves').length) as [number, number];
+  if (moves[0] !== moves[1]) return moves[0] < moves[1];
+  return one.id < other.id;
+};
+
+/** One disruption in the model's list; nothing is ever forgotten or summed up. */
+export interface PlainDisruption {
+  readonly team: string;
+  readonly lane: string;
+  readonly at: number;
+  open: boolean;
+}
+
+export interface PlainLimits {
+  readonly count: number | null;
+  readonly share: number | null;
+  readonly window: { readonly seconds: number; readonly count: number } | null;
+}
+
+/** Whether limits have room for one more, counted anew from the whole list. */
+export const hasRoom = (
+  limits: PlainLimits,
+  all: readonly PlainDisruption[],
+  /** Tasks of the scope that are on machines. */
+  onMachines: number,
+  /** Of the open ones, those whose task is still on its machine. */
+  openOnMachines: number,
+  now: number,
+): boolean => {
+  const open = all.filter((d) => d.open).length;
+  if (limits.count !== null && open >= limits.count) return false;
+  if (limits.share !== null) {
+    const tasks = onMachines + open - openOnMachines;
+    if (open >= Math.floor(limits.share * tasks)) return false;
+  }
+  if (!limits.window) return true;
+  const from = now - limits.window.seconds * 1000;
+  return all.filter((d) => d.open || d.at >= from).length < limits.window.count;
+};
