Leadership: one kind of pending answers; drains: a machine that hears nothing

Three maps of callers that wait stood in leadership.ts, alike but for their types: PendingAnswers serves all.

--- a/packages/drain/test/drain-fleet.ts
+++ b/packages/drain/test/drain-fleet.ts
@@ -27,6 +27,9 @@
 
 const STEP_MS = 250;
 const CHECK_IN_MS = 1000;
+const LEASE_MS = 16_000;
+/** A machine waits this long for an answer. */
+const ANSWER_MS = 4000;
 
 interface Machine {
   readonly id: string;
@@ -39,8 +42,14 @@
   session: number;
   /** Neither reports nor hears anything until then. */
   silentUntil: number;
+  /** Its reports arrive, but no answer and no command reaches it. */
+  deaf: boolean;
   noticeAt: number | null;
   dueAt: number;
+  /** When an answer last renewed its lease. */
+  leaseFrom: number;
+  /** When the report was sent whose answer has not come. */
+  sentAt: number | null;
 }
 
 interface Stop {
@@ -114,8 +123,11 @@
       term: 0,
       session: 1,
       silentUntil: 0,
+      deaf: false,
       noticeAt: null,
       dueAt: 0,
+      leaseFrom: this.now + bootMs,
+      sentAt: null,
     };
     this.machines.set(id, machine);
     return machine;
@@ -292,7 +304,8 @@
         return this.answer(effect.ticket, effect.orders);
       case 'orders': {
         const m = this.machines.get(effect.machine);
-        if (m && this.now >= m.silentUntil && effect.session === m.session) this.execute(m, effect.orders);
+        const hears = m && !m.deaf && this.now >= m.silentUntil;
+        if (hears && effect.session === m.session) this.execute(m, effect.orders);
         return;
       }
       default:
@@ -378,7 +391,13 @@
       if (t.phase !== 'ended' && this.now - t.startedAt >= runs)
         m.tasks.set(name, { ...t, phase: 'ended', cause: 'done' });
     }
-    if (this.now < m.dueAt || this.ended) return;
+    if (this.now - m.leaseFrom > LEASE_MS) {
+      this.restart(m.id);
+      m.leaseFrom = this.now;
+    }
+    if (m.sentAt !== null && this.now - m.sentAt > ANSWER_MS) m.sentAt = null;
+    if (this.now < m.dueAt || m.sentAt !== null || this.ended) return;
+    m.sentAt = this.now;
     m.dueAt = this.now + CHECK_IN_MS;
     m.seq += 1;
     const ticket = this.nextTicket++ as Ticket;
@@ -394,7 +413,11 @@
 
   private answer(ticket: Ticket, orders: readonly Order[] | null): void {
     const m = this.machines.get(this.tickets.get(ticket) ?? '');
-    if (!m || !orders || this.now < m.silentUntil) return;
+    if (!m || m.deaf || this.now < m.silentUntil) return;
+    const { sentAt } = m;
+    m.sentAt = null;
+    if (!orders) return;
+    m.leaseFrom = sentAt ?? m.leaseFrom;
     m.term = this.term;
     this.execute(m, orders);
   }
@@ -423,6 +446,7 @@
     m.tasks.clear();
     m.session += 1;
     m.seq = 0;
+    m.sentAt = null;
   }
 }
 
--- a/packages/drain/test/recovery.test.ts
+++ b/packages/drain/test/recovery.test.ts
@@ -183,6 +183,17 @@
     expect(fleet.problems).toEqual([]);
   });
 
+  it('and hears nothing loses its work with its lease; that runs again elsewhere, and the machine goes', () => {
+    const { fleet, id } = half();
+    fleet.machines.get(id)!.deaf = true;
+    fleet.until(() => fleet.phase('out') === 'done');
+    const { returned, failed } = fleet.status('out');
+    expect(returned + failed).toBe(1);
+    expect(fleet.machines.has(id)).toBe(false);
+    fleet.until(() => fleet.holderOf('job-1/0') !== null);
+    expect(fleet.problems).toEqual([]);
+  });
+
   it('and comes back late goes on where it was', () => {
     const { fleet, id } = half();
     fleet.machines.get(id)!.silentUntil = fleet.now + 5000;
--- a/src/service/leadership.ts
+++ b/src/service/leadership.ts
@@ -19,11 +19,11 @@
   type SegmentKey,
   seconds,
   type Term,
-  type Ticket,
 } from '../core/types.js';
 import type { Dependencies } from './dependencies.js';
 import type { Election } from './election.js';
 import { Owner } from './owner.js';
+import { PendingAnswers, TicketCounter } from './pending-answers.js';
 import { Persister } from './persister.js';
 import {
   extensionPrefix,
@@ -64,12 +64,12 @@
 export class Leadership {
   readonly owner: Owner;
   private readonly persister: Persister;
-  private readonly answers = new Map<Ticket, (orders: readonly Order[] | null) => void>();
-  private readonly operatorCalls = new Map<Ticket, (answer: OperatorAnswer | null) => void>();
-  private readonly aborts = new Map<Ticket, (outcome: Outcome | null | 'late') => void>();
+  private readonly tickets = new TicketCounter();
+  private readonly checkIns = new PendingAnswers<readonly Order[] | null>(this.tickets, TICKET_MS, null);
+  private readonly operatorCalls = new PendingAnswers<OperatorAnswer | null>(this.tickets, OPERATE_MS, null);
+  private readonly aborts = new PendingAnswers<Outcome | null | 'late'>(this.tickets, ABORT_MS, 'late');
   /** Workers turned away while this node was cut off from all but them, and when. */
   private readonly released = new Map<MachineId, number>();
-  private nextTicket = 1;
   /** When jobs came in, of late. */
   private arrivals: Instant[] = [];
   private current = true;
@@ -123,12 +123,9 @@
     this.current = false;
     this.owner.stop();
     this.persister.stop();
-    for (const resolve of this.answers.values()) resolve(null);
-    this.answers.clear();
-    for (const resolve of this.aborts.values()) resolve('late');
-    this.aborts.clear();
-    for (const resolve of this.operatorCalls.values()) resolve(null);
-    this.operatorCalls.clear();
+    this.checkIns.close();
+    this.aborts.close();
+    this.operatorCalls.close();
   }
 
   authority(): Authority {
@@ -292,24 +289,12 @@
     if (!this.current) return;
     const entitled = () => this.current && this.authority() === 'lead';
     switch (effect.kind) {
-      case 'answer': {
-        const resolve = this.answers.get(effect.ticket);
-        this.answers.delete(effect.ticket);
-        resolve?.(effect.orders);
-        return;
-      }
-      case 'operator-answer': {
-        const resolve = this.operatorCalls.get(effect.ticket);
-        this.operatorCalls.delete(effect.ticket);
-        resolve?.(effect.answer);
-        return;
-      }
-      case 'settled': {
-        const resolve = this.aborts.get(effect.ticket);
-        this.aborts.delete(effect.ticket);
-        resolve?.(effect.outcome);
-        return;
-      }
+      case 'answer':
+        return this.checkIns.answer(effect.ticket, effect.orders);
+      case 'operator-answer':
+        return this.operatorCalls.answer(effect.ticket, effect.answer);
+      case 'settled':
+        return this.aborts.answer(effect.ticket, effect.outcome);
       case 'final':
         this.events.over(effect.job, effect);
         this.parts.log.info({ job: effect.job, outcome: effect.outcome }, 'job over');
@@ -367,18 +352,7 @@
     if (authority === 'none') return 'elsewhere';
     if (authority === 'keep-alive' && this.events.isIsolated() && this.sendsElsewhere(report.machine))
       return 'elsewhere';
-    const ticket = this.nextTicket++ as Ticket;
-    const orders = await new Promise<readonly Order[] | null>((resolve) => {
-      const timer = setTimeout(() => {
-        this.answers.delete(ticket);
-        resolve(null);
-      }, TICKET_MS);
-      this.answers.set(ticket, (given) => {
-        clearTimeout(timer);
-        resolve(given);
-      });
-      this.owner.submit({ kind: 'report', report, ticket });
-    });
+    const orders = await this.checkIns.ask((ticket) => this.owner.submit({ kind: 'report', report, ticket }));
     if (!orders || !this.current) return null;
     // The process may have stood still since the orders were decided: right and time are looked at again as they go out.
     const now = this.authority();
@@ -420,35 +394,15 @@
   /** An extension's answer to a call, or null when none comes in time. */
   operate(extension: string, call: OperatorCall): Promise<OperatorAnswer | null> {
     if (this.authority() !== 'lead') return Promise.resolve(null);
-    const ticket = this.nextTicket++ as Ticket;
-    return new Promise((resolve) => {
-      const timer = setTimeout(() => {
-        this.operatorCalls.delete(ticket);
-        resolve(null);
-      }, OPERATE_MS);
-      this.operatorCalls.set(ticket, (answer) => {
-        clearTimeout(timer);
-        resolve(answer);
-      });
-      this.owner.submit({ kind: 'operator-call', extension, call, ticket });
-    });
+    return this.operatorCalls.ask((ticket) =>
+      this.owner.submit({ kind: 'operator-call', extension, call, ticket }),
+    );
   }
 
   // ---- users -------------------------------------------------------------------------------------
 
   /** How an abort ended: the job's final state, null when the job is not known here, or 'late'. */
   abort(id: JobId): Promise<Outcome | null | 'late'> {
-    const ticket = this.nextTicket++ as Ticket;
-    return new Promise((resolve) => {
-      const timer = setTimeout(() => {
-        this.aborts.delete(ticket);
-        resolve('late');
-      }, ABORT_MS);
-      this.aborts.set(ticket, (o) => {
-        clearTimeout(timer);
-        resolve(o);
-      });
-      this.owner.submit({ kind: 'abort', job: id, ticket });
-    });
+    return this.aborts.ask((ticket) => this.owner.submit({ kind: 'abort', job: id, ticket }));
   }
 }
