Drains: replacements rented together; machines that the budgets hold are taken last

Need: at 4,000 machines a step of 400 took 100 s of rental requests at the cloud's rate; and one class with a budget of 0 held up a whole drain as soon as its machine was taken. Change: replacements of one kind are rented by one request of up to 50, whose name, place and size stand in each machine's record; a partial answer leaves the rest to requests of their own. The next step prefers machines whose work the budgets let go of now.

--- a/packages/drain/src/core/drains.ts
+++ b/packages/drain/src/core/drains.ts
@@ -11,6 +11,7 @@
   MachineView,
   Moment,
   RecordWrite,
+  RequestName,
 } from '@robinspread/extension-api';
 import { BudgetLedger, type Disruption } from './budget.js';
 import { DisruptionRecords } from './disruption-records.js';
@@ -20,9 +21,9 @@
 import { Replacements } from './replacements.js';
 import { isBeingLost, workOn } from './selection.js';
 import type { DrainSettings } from './settings.js';
-import { chooseStep } from './step-choice.js';
+import { chooseStep, type StepContext } from './step-choice.js';
 import type { Turn } from './turn.js';
-import type { Blocker, Drain, DrainName, MachineDrain } from './types.js';
+import type { Blocker, Drain, DrainName, MachineDrain, RentalSlot } from './types.js';
 
 /** Beyond the time that a task needs to save, before it is ended. */
 const GRACE_MARGIN_S = 5;
@@ -88,13 +89,8 @@
       case 'released':
         this.onReleased(event.attempt, event.how, moment);
         return [];
-      case 'rented': {
-        const rented = this.replacements.answered(event.request, event.result, event.machines, moment);
-        const drain = rented && this.drainOf(rented.machine);
-        if (!drain) return [];
-        this.progress.moved(drain, moment);
-        return [this.machineWrite(drain, rented)];
-      }
+      case 'rented':
+        return this.onRented(event, moment);
       case 'stored':
         this.store.settled(event.writes);
         for (const { key } of event.writes) this.records.stored(key, moment);
@@ -106,6 +102,24 @@
     }
   }
 
+  /** Tells each machine of the request which one replaces it. */
+  private onRented(event: Extract<ExtensionEvent, { kind: 'rented' }>, moment: Moment): RecordWrite[] {
+    const { request, result, machines } = event;
+    if (!this.replacements.answered(request, result, machines, moment)) return [];
+    const writes: RecordWrite[] = [];
+    for (const drain of this.all.values()) {
+      for (const machineDrain of drain.current.values()) {
+        const { rental, replacement } = machineDrain;
+        if (rental?.request !== request || replacement !== null) continue;
+        machineDrain.replacement = this.replacements.machineFor(rental);
+        if (machineDrain.replacement === null) continue;
+        this.progress.moved(drain, moment);
+        writes.push(this.machineWrite(drain, machineDrain));
+      }
+    }
+    return writes;
+  }
+
   private onReleased(attempt: AttemptView, how: 'reported' | 'gone', moment: Moment): void {
     const { job, phase, machine, kill, superseded } = attempt;
     const begun = phase === 'fetching' || phase === 'running' || phase === 'saving' || phase === 'recorded';
@@ -151,6 +165,14 @@
     return false;
   }
 
+  /** Whether a machine of a step still waits for what this request rents. */
+  private isWanted(request: RequestName): boolean {
+    for (const { current } of this.all.values()) {
+      for (const { rental } of current.values()) if (rental?.request === request) return true;
+    }
+    return false;
+  }
+
   mayReturn(machine: MachineView): boolean {
     return !this.isReplacement(machine.id);
   }
@@ -180,6 +202,7 @@
     this.wishes.clear();
     for (const drain of this.all.values()) this.advance(drain, turn);
     this.records.update(turn);
+    this.replacements.prune((request) => this.isWanted(request));
   }
 
   private reportLost({ requests }: Turn): void {
@@ -298,11 +321,11 @@
 
   /** The machine has left the fleet: by its return, or before it. */
   private close(drain: Drain, machineDrain: MachineDrain, turn: Turn): void {
-    const { machine, phase, request } = machineDrain;
+    const { machine, phase } = machineDrain;
     if (phase === 'returning') drain.returned += 1;
     else drain.failed += 1;
     drain.current.delete(machine);
-    this.replacements.forget(request);
+    this.replacements.forget(machineDrain);
     this.progress.moved(drain, turn.moment);
     const dropped = { key: machineKey(drain.request.name, machine), value: null };
     turn.requests.push({ kind: 'uncordon', machine });
@@ -323,7 +346,8 @@
     }
     // Its room is needed again until another one is ready.
     turn.requests.push({ kind: 'uncordon', machine: machine.id });
-    machineDrain.request = this.replacements.newName(turn);
+    this.replacements.forget(machineDrain);
+    machineDrain.rental = this.replacements.anotherSlot(turn);
     machineDrain.replacement = null;
     machineDrain.tries += 1;
     machineDrain.phase = 'waiting';
@@ -371,6 +395,15 @@
 
   // ---- steps -------------------------------------------------------------------------------------
 
+  /** What the choice of machines depends on beside the fleet. */
+  contextOf({ fleet, moment }: Turn): StepContext {
+    return {
+      letEndS: this.settings.letEndS,
+      inUse: (machine) => this.drainOf(machine) !== null || this.isReplacement(machine),
+      budgetBlocker: (team, lane) => this.budget.blocker(team, lane, fleet, moment),
+    };
+  }
+
   private beginStep(drain: Drain, turn: Turn): void {
     const { name } = drain.request;
     if (turn.moment.now < (this.nextStepAt.get(name) ?? 0)) {
@@ -383,8 +416,7 @@
       this.progress.block(drain, { kind: 'work-runs-again', tasks: waiting });
       return;
     }
-    const inUse = (machine: MachineId) => this.drainOf(machine) !== null || this.isReplacement(machine);
-    const { left, chosen, blocker } = chooseStep(drain, this.settings.letEndS, inUse, turn);
+    const { left, chosen, blocker } = chooseStep(drain, this.contextOf(turn), turn);
     if (left === 0) {
       this.setPhase(drain, 'done', null, turn);
       return;
@@ -396,20 +428,15 @@
     }
     drain.step += 1;
     this.setPhase(drain, 'running', null, turn);
-    for (const machine of chosen) this.take(drain, machine, turn);
+    const slots = drain.request.replace ? this.replacements.slotsFor(chosen, turn) : null;
+    for (const { id } of chosen) this.take(drain, id, slots?.get(id) ?? null, turn);
   }
 
-  private take(drain: Drain, { id }: MachineView, turn: Turn): void {
-    const { replace } = drain.request;
-    const machineDrain: MachineDrain = {
-      machine: id,
-      phase: replace ? 'waiting' : 'cordoned',
-      request: replace ? this.replacements.newName(turn) : null,
-      replacement: null,
-      tries: 1,
-    };
-    drain.current.set(id, machineDrain);
-    if (!replace) turn.requests.push({ kind: 'cordon', machine: id });
+  private take(drain: Drain, machine: MachineId, rental: RentalSlot | null, turn: Turn): void {
+    const phase = rental === null ? 'cordoned' : 'waiting';
+    const machineDrain: MachineDrain = { machine, phase, rental, replacement: null, tries: 1 };
+    drain.current.set(machine, machineDrain);
+    if (phase === 'cordoned') turn.requests.push({ kind: 'cordon', machine });
     turn.requests.push(this.store.write(this.machineWrite(drain, machineDrain)));
   }
 
@@ -431,10 +458,11 @@
 
   /** Puts back into use what is not on its way back to the cloud. */
   cancel(drain: Drain, turn: Turn): void {
-    for (const { machine, phase, request } of [...drain.current.values()]) {
+    for (const machineDrain of [...drain.current.values()]) {
+      const { machine, phase } = machineDrain;
       if (phase === 'returning') continue;
       drain.current.delete(machine);
-      this.replacements.forget(request);
+      this.replacements.forget(machineDrain);
       turn.requests.push({ kind: 'uncordon', machine });
       const key = machineKey(drain.request.name, machine);
       turn.requests.push(this.store.write({ key, value: null }));
--- a/packages/drain/src/core/plan.ts
+++ b/packages/drain/src/core/plan.ts
@@ -1,9 +1,8 @@
 /** A dry run: the steps that a drain would take as things stand, and what would hold each machine up. */
 import type { Drains } from './drains.js';
 import { HeadGuard } from './head-check.js';
-import { byDisturbance, type Disturbance, isGoing, membersOf } from './selection.js';
-import type { DrainSettings } from './settings.js';
-import { stepSizeOf } from './step-choice.js';
+import { type Disturbance, isGoing, membersOf } from './selection.js';
+import { orderForStep, stepSizeOf } from './step-choice.js';
 import type { Turn } from './turn.js';
 import { type Blocker, type Drain, describeBlocker } from './types.js';
 import { LISTED_MACHINES } from './views.js';
@@ -33,9 +32,9 @@
 };
 
 /** The plan for a drain that has not been taken up. */
-export const planOf = (drains: Drains, drain: Drain, settings: DrainSettings, turn: Turn) => {
+export const planOf = (drains: Drains, drain: Drain, turn: Turn) => {
   const members = membersOf(drain, turn.fleet, turn.moment);
-  const order = byDisturbance(members, settings.letEndS, turn.moment);
+  const order = orderForStep(members, drains.contextOf(turn), turn.moment);
   const size = stepSizeOf(drain);
   const guard = drain.request.replace ? null : new HeadGuard(turn.fleet);
   return {
--- a/packages/drain/src/core/records.ts
+++ b/packages/drain/src/core/records.ts
@@ -2,7 +2,7 @@
 import type { Attempt, ImageName, JobId, MachineId, TaskIndex } from '@robinspread/extension-api';
 import * as v from 'valibot';
 import type { Disruption } from './budget.js';
-import type { Drain, DrainName, MachineDrain, Selector, StepSize } from './types.js';
+import type { Drain, DrainName, MachineDrain, RentalSlot, Selector, StepSize } from './types.js';
 
 const DRAINS = 'd/';
 const MACHINES = 'm/';
@@ -103,14 +103,15 @@
 
 const machineSchema = v.object({
   phase: v.picklist(['waiting', 'cordoned', 'draining', 'returning']),
-  request: v.nullable(text),
+  /** [name of the request, place, how many] */
+  rental: v.nullable(v.tuple([text, count, count])),
   by: v.nullable(text),
   tries: count,
 });
 
-export const writeMachine = ({ phase, request, replacement, tries }: MachineDrain) => ({
+export const writeMachine = ({ phase, rental, replacement, tries }: MachineDrain) => ({
   phase,
-  request,
+  rental: rental === null ? null : ([rental.request, rental.slot, rental.of] as const),
   by: replacement,
   tries,
 });
@@ -118,8 +119,15 @@
 const readMachine = (machine: MachineId, value: unknown): MachineDrain | null => {
   const result = v.safeParse(machineSchema, value);
   if (!result.success) return null;
-  const { phase, request, by, tries } = result.output;
-  return { machine, phase, request, replacement: by, tries } as MachineDrain;
+  const { phase, rental, by, tries } = result.output;
+  const [request, slot, of] = rental ?? [];
+  return {
+    machine,
+    phase,
+    rental: rental === null ? null : ({ request, slot, of } as RentalSlot),
+    replacement: by as MachineId | null,
+    tries,
+  };
 };
 
 /** [job, task, attempt, team, class, time of day, voluntary] */
--- a/packages/drain/src/core/replacements.ts
+++ b/packages/drain/src/core/replacements.ts
@@ -1,22 +1,27 @@
 /**
- * Replacements of drained machines: one request for each machine, under a name that is stored before it is sent. A repeat of a
- * name rents nothing new, so that a request without an answer, or of a former leader, is simply sent again.
+ * Replacements of drained machines. Those of one kind in a step are rented together, under a name that is stored before it is
+ * sent. A repeat of a name rents nothing new, so that a request without an answer, or of a former leader, is sent again.
  */
 import type { FleetView, MachineId, MachineView, Moment, RequestName } from '@robinspread/extension-api';
 import { isGoing } from './selection.js';
 import type { DrainSettings } from './settings.js';
 import type { Turn } from './turn.js';
-import type { Blocker, MachineDrain } from './types.js';
+import type { Blocker, MachineDrain, RentalSlot } from './types.js';
 
-/** A rental that is under way or has been answered. */
+/** A request for machines, and what is known of its answer. */
 interface Rental {
-  readonly machineDrain: MachineDrain;
-  /** Since when its machine is waited for: the cloud's answer, or this leader's first look. */
-  since: number;
+  readonly of: number;
   underWay: boolean;
   refusals: number;
   retryAt: number;
-  /** The machine has been seen ready. */
+  /** The machines that it rented; null: not known yet. */
+  machines: readonly MachineId[] | null;
+}
+
+/** How long the replacement of one machine has been waited for. */
+interface Watch {
+  since: number;
+  /** It has been seen ready. */
   wasReady: boolean;
 }
 
@@ -27,6 +32,8 @@
 const MOST_RETRY_MS = 60_000;
 /** After this many failed replacements the operator is told so. */
 const MANY_TRIES = 3;
+/** Machines that the cloud rents out by one request. */
+const MOST_AT_ONCE = 50;
 
 /** What became of a replacement: ready, waited for, or given up for another one. */
 export type ReplacementState =
@@ -45,24 +52,55 @@
   !isGoing(machine) &&
   now - machine.lastSeen <= QUIET_REPORTS * fleet.reportMs;
 
+const kindOf = ({ type, zone, spot }: MachineView): string => `${type}/${zone}/${spot}`;
+
+const describeKind = ({ type, zone, spot }: MachineView): string =>
+  `${type} in ${zone} (${spot ? 'spot' : 'ordinary'})`;
+
 export class Replacements {
   private readonly rentals = new Map<RequestName, Rental>();
+  private readonly watches = new Map<MachineDrain, Watch>();
   private nextRequest = 1;
 
   constructor(private readonly settings: DrainSettings) {}
 
   /** A name that no leader has used or ever will: it holds the term. */
-  newName({ fleet }: Turn): RequestName {
+  private newName({ fleet }: Turn): RequestName {
     const name = `drain-${fleet.term}-${this.nextRequest}` as RequestName;
     this.nextRequest += 1;
     return name;
   }
 
-  private rentalOf(machineDrain: MachineDrain, request: RequestName, { now }: Moment): Rental {
+  /** A place in a request for each of these machines; one request for as many of a kind as the cloud rents at once. */
+  slotsFor(machines: readonly MachineView[], turn: Turn): Map<MachineId, RentalSlot> {
+    const byKind = new Map<string, MachineId[]>();
+    for (const machine of machines) {
+      const kind = kindOf(machine);
+      const same = byKind.get(kind);
+      if (same) same.push(machine.id);
+      else byKind.set(kind, [machine.id]);
+    }
+    const slots = new Map<MachineId, RentalSlot>();
+    for (const ids of byKind.values()) {
+      for (let from = 0; from < ids.length; from += MOST_AT_ONCE) {
+        const together = ids.slice(from, from + MOST_AT_ONCE);
+        const request = this.newName(turn);
+        for (const [slot, id] of together.entries()) slots.set(id, { request, slot, of: together.length });
+      }
+    }
+    return slots;
+  }
+
+  /** A request for another replacement of one machine. */
+  anotherSlot(turn: Turn): RentalSlot {
+    return { request: this.newName(turn), slot: 0, of: 1 };
+  }
+
+  private rentalOf({ request, of }: RentalSlot, tries: number, { now }: Moment): Rental {
     let rental = this.rentals.get(request);
     if (!rental) {
-      const retryAt = machineDrain.tries > 1 ? now + this.pauseMs(machineDrain.tries) : now;
-      rental = { machineDrain, since: now, underWay: false, refusals: 0, retryAt, wasReady: false };
+      const retryAt = tries > 1 ? now + this.pauseMs(tries) : now;
+      rental = { of, underWay: false, refusals: 0, retryAt, machines: null };
       this.rentals.set(request, rental);
     }
     return rental;
@@ -74,70 +112,92 @@
 
   /** Rents what is missing, and tells whether the replacement is ready. `of`: the machine that it replaces. */
   advance(machineDrain: MachineDrain, of: MachineView, turn: Turn): ReplacementState {
-    const { request, replacement } = machineDrain;
-    if (request === null) return GIVEN_UP;
-    const rental = this.rentalOf(machineDrain, request, turn.moment);
-    if (replacement === null) return this.rent(rental, request, of, turn);
-    return this.watch(rental, request, replacement, turn);
+    const { rental: slot, replacement, tries } = machineDrain;
+    if (slot === null) return GIVEN_UP;
+    if (replacement !== null) return this.watch(machineDrain, slot, replacement, turn);
+    const rental = this.rentalOf(slot, tries, turn.moment);
+    // Fewer machines were rented than asked for: this one is asked for anew.
+    if (rental.machines !== null) return GIVEN_UP;
+    return this.rent(rental, slot, of, tries, turn);
   }
 
-  private rent(rental: Rental, request: RequestName, of: MachineView, turn: Turn): ReplacementState {
+  private rent(
+    rental: Rental,
+    { request }: RentalSlot,
+    machine: MachineView,
+    tries: number,
+    turn: Turn,
+  ): ReplacementState {
     const { now } = turn.moment;
     if (!rental.underWay && now >= rental.retryAt) {
       rental.underWay = true;
-      const { type, zone, spot } = of;
-      turn.requests.push({ kind: 'rent', request, type, zone, spot, count: 1 });
-    }
-    const { tries } = rental.machineDrain;
-    if (rental.refusals > 0) {
-      const kind = `${of.type} in ${of.zone} (${of.spot ? 'spot' : 'ordinary'})`;
-      return { kind: 'blocked', blocker: { kind: 'no-capacity', of: kind } };
+      const { type, zone, spot } = machine;
+      turn.requests.push({ kind: 'rent', request, type, zone, spot, count: rental.of });
     }
+    if (rental.refusals > 0)
+      return { kind: 'blocked', blocker: { kind: 'no-capacity', of: describeKind(machine) } };
     if (tries > MANY_TRIES)
       return { kind: 'blocked', blocker: { kind: 'replacement-failed', tries: tries - 1 } };
     return { kind: 'blocked', blocker: { kind: 'replacement-booting', request } };
   }
 
-  private watch(rental: Rental, request: RequestName, id: MachineId, turn: Turn): ReplacementState {
+  private watch(
+    machineDrain: MachineDrain,
+    { request }: RentalSlot,
+    id: MachineId,
+    turn: Turn,
+  ): ReplacementState {
     const { fleet, moment } = turn;
+    const watch = this.watches.get(machineDrain) ?? { since: moment.now, wasReady: false };
+    this.watches.set(machineDrain, watch);
     const machine = fleet.machines.get(id);
     if (machine && isReady(machine, fleet, moment)) {
-      rental.wasReady = true;
+      watch.wasReady = true;
       return READY;
     }
-    const overdue = moment.now - rental.since > this.settings.readyTimeoutS * 1000;
-    const gone = machine ? isGoing(machine) : rental.wasReady;
+    const overdue = moment.now - watch.since > this.settings.readyTimeoutS * 1000;
+    const gone = machine ? isGoing(machine) : watch.wasReady;
     if (!gone && !overdue) return { kind: 'blocked', blocker: { kind: 'replacement-booting', request } };
-    this.rentals.delete(request);
+    this.watches.delete(machineDrain);
     return GIVEN_UP;
   }
 
-  /** The cloud's answer; true when it names the machine. */
+  /** The cloud's answer; true when it names machines. */
   answered(
     request: RequestName,
     result: 'ok' | 'refused' | 'unknown',
     machines: readonly MachineId[],
     { now }: Moment,
-  ): MachineDrain | null {
+  ): boolean {
     const rental = this.rentals.get(request);
-    if (!rental) return null;
+    if (!rental) return false;
     rental.underWay = false;
-    const [machine] = machines;
-    if (result === 'ok' && machine !== undefined) {
-      rental.machineDrain.replacement = machine;
-      rental.since = now;
-      return rental.machineDrain;
+    if (result === 'ok' && machines.length > 0) {
+      rental.machines = machines;
+      return true;
     }
     if (result === 'unknown') rental.retryAt = now + UNANSWERED_RETRY_MS;
     else {
       rental.refusals += 1;
       rental.retryAt = now + Math.min(MOST_RETRY_MS, REFUSED_RETRY_MS * rental.refusals);
     }
-    return null;
+    return false;
+  }
+
+  /** The machine that an answered request rented for this place; null: none. */
+  machineFor({ request, slot }: RentalSlot): MachineId | null {
+    return this.rentals.get(request)?.machines?.[slot] ?? null;
   }
 
   /** The machine's drain is over, or it gets another replacement. */
-  forget(request: RequestName | null): void {
-    if (request !== null) this.rentals.delete(request);
+  forget(machineDrain: MachineDrain): void {
+    this.watches.delete(machineDrain);
+  }
+
+  /** Drops requests that no machine waits for any more. */
+  prune(isWanted: (request: RequestName) => boolean): void {
+    for (const [request, { underWay }] of this.rentals) {
+      if (!underWay && !isWanted(request)) this.rentals.delete(request);
+    }
   }
 }
--- a/packages/drain/src/core/step-choice.ts
+++ b/packages/drain/src/core/step-choice.ts
@@ -1,7 +1,7 @@
 /** Which machines the next step of a drain takes. */
-import type { MachineId, MachineView } from '@robinspread/extension-api';
+import type { AttemptView, MachineId, MachineView, Moment, TeamName } from '@robinspread/extension-api';
 import { HeadGuard } from './head-check.js';
-import { byDisturbance, isGoing, membersOf } from './selection.js';
+import { byDisturbance, type Disturbance, isGoing, membersOf } from './selection.js';
 import type { Turn } from './turn.js';
 import type { Blocker, Drain } from './types.js';
 
@@ -20,23 +20,48 @@
   readonly blocker: Blocker | null;
 }
 
-/** Chooses those whose loss disturbs least. `inUse`: machines of steps under way, and their replacements. */
-export const chooseStep = (
-  drain: Drain,
-  letEndS: number,
-  inUse: (machine: MachineId) => boolean,
-  { fleet, moment }: Turn,
-): StepChoice => {
+/** What the rest of the package knows of machines and of their work. */
+export interface StepContext {
+  readonly letEndS: number;
+  /** Part of a step under way, or a replacement in one. */
+  readonly inUse: (machine: MachineId) => boolean;
+  /** What keeps one more task of this kind from being disrupted. */
+  readonly budgetBlocker: (team: TeamName, lane: string) => Blocker | null;
+}
+
+/** Machines in the order in which they are taken: first those that the budgets let go of now, as far as they reach. */
+export const orderForStep = (
+  machines: readonly MachineView[],
+  { letEndS, budgetBlocker }: StepContext,
+  moment: Moment,
+): Disturbance[] => {
+  const blocked = new Map<string, boolean>();
+  const isBlocked = ({ job }: AttemptView): boolean => {
+    if (!job) return false;
+    const { team, lane } = job.spec;
+    const kind = JSON.stringify([team, lane]);
+    const known = blocked.get(kind) ?? budgetBlocker(team, lane) !== null;
+    blocked.set(kind, known);
+    return known;
+  };
+  const order = byDisturbance(machines, letEndS, moment);
+  const isHeld = ({ work }: Disturbance): boolean =>
+    work.stoppable.some(isBlocked) || work.replicas.some(isBlocked);
+  return [...order.filter((item) => !isHeld(item)), ...order.filter(isHeld)];
+};
+
+/** Chooses those whose loss disturbs least. */
+export const chooseStep = (drain: Drain, context: StepContext, { fleet, moment }: Turn): StepChoice => {
   const members = membersOf(drain, fleet, moment);
   // Of a machine that has not reported to this leader only a former leader's ledger, or a list that lags, may tell.
-  const free = members.filter((m) => m.everSeen && !isGoing(m) && !m.cordoned && !inUse(m.id));
+  const free = members.filter((m) => m.everSeen && !isGoing(m) && !m.cordoned && !context.inUse(m.id));
   const left = members.length;
   if (free.length === 0) return { left, chosen: [], blocker: { kind: 'busy-elsewhere', machines: left } };
   const guard = drain.request.replace ? null : new HeadGuard(fleet);
   const size = stepSizeOf(drain);
   const chosen: MachineView[] = [];
   let blocker: Blocker | null = null;
-  for (const { machine } of byDisturbance(free, letEndS, moment)) {
+  for (const { machine } of orderForStep(free, context, moment)) {
     if (chosen.length >= size) break;
     const kept = guard?.blocker(machine.id) ?? null;
     if (kept) {
--- a/packages/drain/src/core/types.ts
+++ b/packages/drain/src/core/types.ts
@@ -47,12 +47,21 @@
  */
 export type MachinePhase = 'waiting' | 'cordoned' | 'draining' | 'returning';
 
+/** One of the machines that are rented by one request. */
+export interface RentalSlot {
+  readonly request: RequestName;
+  /** Its place among them. */
+  readonly slot: number;
+  /** How many are asked for: a repeat of the request must say the same. */
+  readonly of: number;
+}
+
 /** A machine of the current step. */
 export interface MachineDrain {
   readonly machine: MachineId;
   phase: MachinePhase;
-  /** The name under which its replacement is rented, once that is stored. */
-  request: RequestName | null;
+  /** The rental that its replacement is part of, once that is stored. */
+  rental: RentalSlot | null;
   /** The machine that replaces it. */
   replacement: MachineId | null;
   /** Replacements asked for so far. */
--- a/packages/drain/src/drain-extension.ts
+++ b/packages/drain/src/drain-extension.ts
@@ -29,7 +29,7 @@
 
   constructor(settings: DrainSettings) {
     this.drains = new Drains(settings);
-    this.operators = new Operators(this.drains, settings);
+    this.operators = new Operators(this.drains);
   }
 
   load(records: readonly ExtensionRecord[]): void {
--- a/packages/drain/src/operators.ts
+++ b/packages/drain/src/operators.ts
@@ -13,7 +13,6 @@
 import { planOf } from './core/plan.js';
 import { writeDrain } from './core/records.js';
 import { membersOf } from './core/selection.js';
-import type { DrainSettings } from './core/settings.js';
 import type { Turn } from './core/turn.js';
 import { type Drain, type DrainName, type DrainRequest, describeBlocker } from './core/types.js';
 import { budgetsOf, detailsOf, summaryOf } from './core/views.js';
@@ -37,10 +36,7 @@
   /** Calls whose change is not stored yet. */
   private waiting: Waiting[] = [];
 
-  constructor(
-    private readonly drains: Drains,
-    private readonly settings: DrainSettings,
-  ) {}
+  constructor(private readonly drains: Drains) {}
 
   /** Answers a call, or keeps its ticket until what it changes is stored. */
   call(call: OperatorCall, ticket: Ticket, turn: Turn): OperatorAnswer | null {
@@ -130,7 +126,7 @@
     if (!turn.fleet.settled) return UNSETTLED;
     const drain = newDrain(read.request, turn.fleet, turn.moment);
     const refusal = this.refusal(drain, turn);
-    const plan = planOf(this.drains, drain, this.settings, turn);
+    const plan = planOf(this.drains, drain, turn);
     return { status: 200, body: { refused: refusal, ...plan } };
   }
 
--- a/packages/drain/test/drain-fleet.ts
+++ b/packages/drain/test/drain-fleet.ts
@@ -71,7 +71,9 @@
   /** What has happened, as the machines and the cloud know it. */
   readonly stops: Stop[] = [];
   readonly starts: Stop[] = [];
+  /** Machines that were rented, each by the name of its request and its place in it. */
   readonly hires = new Map<string, string>();
+  private readonly rentals = new Map<string, MachineId[]>();
   readonly returned: string[] = [];
   readonly problems: string[] = [];
   /** Changes of records that were stored, in order. */
@@ -86,6 +88,8 @@
     stateAway: false,
     loseDeleteAnswers: 0,
     loseRentAnswers: 0,
+    /** The cloud fills requests up to this many machines. */
+    mostAtOnce: Number.POSITIVE_INFINITY,
     /** The leader ends before it stores this change of a record, counted from 1; 0: never. */
     endAtWrite: 0,
     /** It ends just after that change is stored. */
@@ -343,22 +347,26 @@
     return true;
   }
 
-  private rent({ request, zone, spot }: Extract<Effect, { kind: 'rent' }>): void {
-    const reply = (result: 'ok' | 'refused' | 'unknown', machines: MachineId[]) =>
+  private rent({ request, zone, spot, count }: Extract<Effect, { kind: 'rent' }>): void {
+    const reply = (result: 'ok' | 'refused' | 'unknown', machines: readonly MachineId[]) =>
       this.held.push({ at: this.now + STEP_MS, command: { kind: 'rented', request, result, machines } });
     if (this.trouble.cloudAway) return void reply('unknown', []);
-    let id = this.hires.get(request);
-    if (id === undefined) {
-      if (this.trouble.refuseRentals) return void reply('refused', []);
-      const bootMs = this.trouble.neverUp ? Number.POSITIVE_INFINITY : 3000;
-      id = this.addMachine(zone, spot, bootMs).id;
-      this.hires.set(request, id);
-    }
+    const known = this.rentals.get(request);
+    if (!known && this.trouble.refuseRentals) return void reply('refused', []);
+    const ids = known ?? this.hire(request, zone, spot, Math.min(count, this.trouble.mostAtOnce));
     if (this.trouble.loseRentAnswers > 0) {
       this.trouble.loseRentAnswers -= 1;
       return void reply('unknown', []);
     }
-    reply('ok', [id as MachineId]);
+    reply('ok', ids);
+  }
+
+  private hire(request: string, zone: string, spot: boolean, count: number): MachineId[] {
+    const bootMs = this.trouble.neverUp ? Number.POSITIVE_INFINITY : 3000;
+    const ids = Array.from({ length: count }, () => this.addMachine(zone, spot, bootMs).id as MachineId);
+    this.rentals.set(request, ids);
+    for (const [slot, id] of ids.entries()) this.hires.set(`${request}#${slot}`, id);
+    return ids;
   }
 
   private delete(ids: readonly MachineId[]): void {
--- a/packages/drain/test/steps.test.ts
+++ b/packages/drain/test/steps.test.ts
@@ -199,6 +199,21 @@
     expect(fleet.hires.size).toBe(1);
   });
 
+  it('rented together with others may be fewer than asked for: the rest is asked for anew', () => {
+    const fleet = new DrainFleet(inZone(5));
+    fleet.submit('job-1', { ...SAVING, tasks: 10 });
+    fleet.run(4000);
+    fleet.trouble.mostAtOnce = 2;
+    fleet.start('swap', { select: { all: true }, atOnce: 5 });
+    fleet.until(() => fleet.phase('swap') === 'done');
+    const requests = [...fleet.hires.keys()].map((name) => name.split('#')[0]);
+    // Two came with the first request; each of the others has one of its own.
+    expect(fleet.hires.size).toBe(5);
+    expect(new Set(requests).size).toBe(4);
+    expect(fleet.returned).toHaveLength(5);
+    expect(fleet.problems).toEqual([]);
+  });
+
   it('that dies once ready is replaced in turn; the drained machine is in use meanwhile', () => {
     const fleet = new DrainFleet(inZone(1));
     fleet.submit('job-1', { cpus: 4 });
@@ -266,6 +281,19 @@
     expect(fleet.stops).toEqual([]);
   });
 
+  it('of 0 for one class hold up its machines last: all others go first', () => {
+    const settings = '(drain (let-end-s 5) (budgets (team blue (class settle (at-once 0)))))';
+    const fleet = new DrainFleet(inZone(4), settings);
+    fleet.submit('job-1', { ...SAVING, cpus: 8, lane: 'settle' });
+    fleet.submit('job-2', { ...SAVING, cpus: 8, tasks: 3 });
+    fleet.run(5000);
+    const kept = fleet.holderOf('job-1/0')!;
+    fleet.start('swap', { select: { all: true }, atOnce: 1 });
+    fleet.until(() => fleet.returned.length === 3);
+    expect(fleet.returned).not.toContain(kept);
+    expect(fleet.holderOf('job-1/0')).toBe(kept);
+  });
+
   it('that shrink below what is in use start nothing new', () => {
     const fleet = new DrainFleet(inZone(4), '(drain (let-end-s 5) (budgets (team blue (at-once 2))))');
     fleet.submit('job-1', { ...SAVING, cpus: 8, tasks: 4 });
@@ -298,6 +326,8 @@
     expect(fleet.status('swap').machines[0]?.blocked?.text).toContain('class settle is 0');
     fleet.submit('job-3', { ...SAVING, cpus: 8, tasks: 1 });
     fleet.run(4000);
+    // It may have begun on the replacement of the machine that waits.
+    fleet.call('cancel', 'swap');
     const later = fleet.holderOf('job-3/0')!;
     fleet.start('more', { select: { machines: [later] } });
     fleet.run(20_000);
