--- a/test/model/simulated-world.ts
+++ b/test/model/simulated-world.ts
@@ -8,7 +8,6 @@
 import type { ExtensionModule, OperatorAnswer, OperatorCall } from '../../src/core/extension.js';
 import { ExtensionHost } from '../../src/core/extension-host.js';
 import { keepAliveFor } from '../../src/core/leases.js';
-import type { CoreState } from '../../src/core/state.js';
 import { step } from '../../src/core/step.js';
 import type {
   Authority,
@@ -23,7 +22,6 @@
   Order,
   Report,
   SaveOp,
-  SegmentKey,
   TeamName,
   Term,
   Ticket,
@@ -32,6 +30,7 @@
 } from '../../src/core/types.js';
 import { readSegment, writeSegment } from '../../src/service/records.js';
 import { core, job, report, task, team, type } from './build.js';
+import { type Leader, type Message, type Running, type Store, Worker } from './simulated-parties.js';
 
 const REPORT_MS = 2000;
 const LEASE_MS = 16_000;
@@ -45,82 +44,8 @@
 const LIMITS = { valueBytes: 8192, txnOps: 12 };
 const NEXT = { valueBytes: 1024, txnOps: 3 };
 
-interface Running {
-  job: string;
-  index: number;
-  attempt: number;
-  state: 'fetching' | 'running' | 'ended';
-  cause: 'done' | 'stopped' | 'error' | null;
-  left: number;
-}
-
-class Worker {
-  session = 1;
-  seq = 0;
-  term = 0;
-  tasks: Running[] = [];
-  leaseFrom: number;
-  hungUntil = 0;
-  dueAt: number;
-  awaiting: { sentAt: number; session: number } | null = null;
-  noticeAt: number | null = null;
-  sick = false;
-  upAt: number;
-  gone = false;
-  /** While cut off, it reaches only this leader, and nothing else reaches it. */
-  cutOffWith: Leader | null = null;
-  cutOffUntil = 0;
-  /** While deaf, its reports arrive, but no answer and no command reaches it. */
-  deafUntil = 0;
-  /** While mute, it reaches no controller, but direct commands reach it. */
-  muteUntil = 0;
-  /** What it sends and what is sent to it is held back until then, and arrives all at once. */
-  heldUntil = 0;
-  lastAt = 0;
-
-  constructor(
-    readonly id: string,
-    readonly spot: boolean,
-    readonly zone: string,
-    now: number,
-    bootMs: number,
-  ) {
-    this.upAt = now + bootMs;
-    this.leaseFrom = this.upAt;
-    this.dueAt = this.upAt;
-  }
-
-  used(): number {
-    return this.tasks.filter((t) => t.state !== 'ended').reduce((sum, t) => sum + SPECS.get(t.job)!.cpus, 0);
-  }
-}
-
 const SPECS = new Map<string, JobSpec>();
 
-/** What the state service keeps: survives every leader. */
-interface Store {
-  jobs: Map<string, { spec: JobSpec; at: number }>;
-  finals: Map<string, string>;
-  /** Ledger records as the text that the state service would hold. */
-  ledger: Map<SegmentKey, string>;
-  /** Records of extensions, likewise. */
-  records: Map<string, string>;
-  term: number;
-}
-
-interface Leader {
-  term: number;
-  /** Writes by the layout and limits of the version before this one, and cannot read what stands for a service. */
-  old: boolean;
-  state: CoreState;
-  /** false once another has taken over: what it still does is fenced by the store. */
-  alive: boolean;
-  validUntil: number;
-  /** Until then the process stands still, while its clock runs on. */
-  frozenUntil: number;
-  queue: Command[];
-}
-
 /** What a test may set about a world. */
 export interface WorldOptions {
   /** A package whose extension every leader of this version runs. */
@@ -141,11 +66,6 @@
   readonly voluntary: boolean;
 }
 
-interface Message {
-  at: number;
-  act: () => void;
-}
-
 export class SimulatedWorld {
   now = 0;
   readonly problems: string[] = [];
@@ -611,7 +531,7 @@
       if (o.op === 'start') {
         if (held?.attempt === o.attempt) continue;
         const spec = SPECS.get(o.job)!;
-        if (held || w.used() + spec.cpus > TYPE.cpus) {
+        if (held || w.used(SPECS) + spec.cpus > TYPE.cpus) {
           w.tasks.push({ ...o, state: 'ended', cause: 'error', left: 0 });
           continue;
         }
@@ -1119,7 +1039,7 @@
           w.noticeAt === null &&
           (spec.spotOk || !w.spot) &&
           (spec.zone === null || spec.zone === w.zone) &&
-          w.used() + spec.cpus <= TYPE.cpus,
+          w.used(SPECS) + spec.cpus <= TYPE.cpus,
       );
     });
   }
--- a/test/versions.test.ts
+++ b/test/versions.test.ts
@@ -182,6 +182,12 @@
       const [sent] = new FrameReader().push(encodeFrame(question));
       expect(v.is(oldQuestion, sent)).toBe(true);
     }
+    // An operator's call to a package it does not know, and leaves unanswered: the asker says 503.
+    const call = { route: 'list', subject: '', body: {} };
+    const [passedOn] = new FrameReader().push(
+      encodeFrame({ n: 4, ask: 'operate', extension: 'drain', call }),
+    );
+    expect(v.is(oldQuestion, passedOn)).toBe(false);
     // A service that it is asked to admit it cannot read: no answer, so that no 201 is said.
     expect(v.is(oldJob, asked[0]!.record)).toBe(false);
     const state = core();
