--- a/packages/drain/src/core/budget.ts
+++ b/packages/drain/src/core/budget.ts
@@ -72,6 +72,9 @@
   /** Attempts whose grant lapsed, and until when they are not considered again. */
   private readonly lapsed = new Map<Attempt, number>();
 
+  /** Kinds of work that had no room in this turn: asked about once, however many tasks there are of them. */
+  private readonly blocked = new Map<string, Blocker>();
+
   constructor(private readonly settings: DrainSettings) {}
 
   /** The budgets that a task counts against. */
@@ -143,9 +146,11 @@
     if (known) return known;
     if (!attempt.job || (this.lapsed.get(attempt.entry.attempt) ?? 0) > moment.now) return null;
     const { team, lane } = attempt.job.spec;
-    const blocker = this.blocker(team, lane, fleet, moment);
-    if (blocker) return blocker;
-    return this.open(attempt, true, moment);
+    const kind = JSON.stringify([team, lane]);
+    const blocker = this.blocked.get(kind) ?? this.blocker(team, lane, fleet, moment);
+    if (!blocker) return this.open(attempt, true, moment);
+    this.blocked.set(kind, blocker);
+    return blocker;
   }
 
   /** Counts a disruption that nobody was asked about. */
@@ -211,6 +216,7 @@
 
   /** Follows what has become of each disruption. */
   update(fleet: FleetView, moment: Moment): void {
+    this.blocked.clear();
     for (const [attempt, until] of this.lapsed) if (until <= moment.now) this.lapsed.delete(attempt);
     for (const disruption of [...this.disruptions.values()]) this.follow(disruption, fleet, moment);
     this.forget(moment);
--- a/packages/drain/src/core/drains.ts
+++ b/packages/drain/src/core/drains.ts
@@ -418,6 +418,8 @@
     }
     const { left, chosen, blocker } = chooseStep(drain, this.contextOf(turn), turn);
     if (left === 0) {
+      // Machines that went before a step took them were lost or taken too.
+      drain.failed = Math.max(drain.failed, drain.total - drain.returned);
       this.setPhase(drain, 'done', null, turn);
       return;
     }
--- a/packages/drain/test/drain-fleet.ts
+++ b/packages/drain/test/drain-fleet.ts
@@ -21,7 +21,7 @@
   Ticket,
   ZoneName,
 } from '../../../src/core/types.js';
-import { core, job, report, task, type } from '../../../test/model/build.js';
+import { core, job, report, task, team, type } from '../../../test/model/build.js';
 import { drainModule } from '../src/index.js';
 import { settingsOf } from './settings.js';
 
@@ -148,6 +148,7 @@
     const types = [type('c8', { bootS: 5 })];
     this.state = core(
       {
+        teams: new Map([team('blue', 20_000), team('green', 20_000)].map((t) => [t.name, t])),
         term: this.term as Term,
         acquiredAt: this.now as Instant,
         timeOfDayOffsetMs: 1_000_000,
--- a/packages/drain/test/large-fleet.test.ts
+++ b/packages/drain/test/large-fleet.test.ts
@@ -2,7 +2,7 @@
 
 import { describe, expect, it } from 'vitest';
 import { CountingMap } from '../../../test/model/counting-map.js';
-import { DrainFleet, inZone } from './drain-fleet.js';
+import { DrainFleet, inZone, SAVING } from './drain-fleet.js';
 
 const FLEET = 4000;
 
@@ -29,4 +29,26 @@
     fleet.until(() => fleet.returned.length >= 120);
     expect(fleet.problems).toEqual([]);
   }, 120_000);
+
+  it('asks a budget once a turn for each kind of work, however many tasks there are of it', () => {
+    const fleet = new DrainFleet(
+      inZone(1000),
+      '(drain (let-end-s 5) (budgets (team blue (at-once-share 0.01))))',
+    );
+    for (let i = 0; i < 20; i += 1) fleet.submit(`job-${i}`, { ...SAVING, tasks: 100 });
+    fleet.until(() => fleet.starts.length === 2000);
+    const counting = new CountingMap(fleet.state.jobs);
+    Object.assign(fleet.state, { jobs: counting });
+    const walks = () => {
+      const before = counting.visited;
+      fleet.run(2000);
+      return (counting.visited - before) / 20;
+    };
+    const idle = walks();
+    fleet.start('part', { select: { all: true }, atOnceShare: 0.5, replace: false });
+    fleet.until(() => fleet.stops.length >= 20);
+    // 500 machines with 1,000 tasks are cordoned; walks over the jobs follow what is granted, not what asks.
+    expect(walks() - idle).toBeLessThan(1000);
+    expect(fleet.problems).toEqual([]);
+  }, 120_000);
 });
--- a/packages/drain/test/recovery.test.ts
+++ b/packages/drain/test/recovery.test.ts
@@ -194,6 +194,21 @@
     expect(fleet.problems).toEqual([]);
   });
 
+  it('or was to be, and is lost before its step, counts as lost too', () => {
+    const fleet = new DrainFleet(inZone(3));
+    fleet.submit('job-1', { cpus: 8, tasks: 3 });
+    fleet.run(3000);
+    fleet.start('out', { select: { all: true }, atOnce: 1 });
+    fleet.until(() => fleet.status('out').machines[0]?.state === 'cordoned');
+    const taken = fleet.status('out').machines[0]!.name;
+    const waiting = ['n-0000', 'n-0001', 'n-0002'].find((id) => id !== taken)!;
+    fleet.machines.get(waiting)!.silentUntil = Number.POSITIVE_INFINITY;
+    fleet.until(() => fleet.holderOf('job-1/0') !== waiting && !fleet.machines.has(waiting));
+    fleet.runMs.set('job-1', 0);
+    fleet.until(() => fleet.phase('out') === 'done');
+    expect(fleet.status('out')).toMatchObject({ returned: 2, failed: 1 });
+  });
+
   it('and comes back late goes on where it was', () => {
     const { fleet, id } = half();
     fleet.machines.get(id)!.silentUntil = fleet.now + 5000;
