--- a/packages/drain/measure/drain-load.ts
+++ b/packages/drain/measure/drain-load.ts
@@ -30,7 +30,8 @@
 /** Of the fleet's processors, what long tasks and replicas are to use. */
 const LONG_SHARE = 0.5;
 const REPLICA_SHARE = 0.05;
-const LONG_RUN_MS = 240_000;
+/** Longer than any drain that is measured. */
+const LONG_RUN_MS = 1_200_000;
 const SHORT_RATE_PER_S = 4;
 const WARM_UP_MS = 5000;
 const CHECK_IN_MS = 1000;
@@ -78,7 +79,14 @@
   const replicas = Math.round(cpus * REPLICA_SHARE);
   const longTasks = Math.round((cpus * LONG_SHARE) / 2);
   await submit(null, { Crew: GREEN, Shape: 'daemon', Rank: 'standard', Pieces: replicas, Cpus: 1 });
-  await submit(LONG_RUN_MS, { Crew: BLUE, Pieces: longTasks, Cpus: 2, GuessS: 240, BookmarkS: 5, StowS: 1 });
+  await submit(LONG_RUN_MS, {
+    Crew: BLUE,
+    Pieces: longTasks,
+    Cpus: 2,
+    GuessS: LONG_RUN_MS / 1000,
+    BookmarkS: 5,
+    StowS: 1,
+  });
   const running = () => [...cloud.workers.values()].reduce((sum, w) => sum + w.running().length, 0);
   await until(() => running() >= replicas + longTasks);
   let loading = true;
