Review: a case: no controller takes over from a cut-off leader while users poll much

Case 1: a node's share of the state service's requests is one queue for users' questions and for the election. Without a leader every question costs such a request, so that the queue stays full, and the claims of the leader key are refused by the node's own limit.

--- a/review/lib/world.mjs
+++ b/review/lib/world.mjs
@@ -66,8 +66,8 @@
   runS(piece) {
     return this.runOf.get(piece.split('/')[0]) ?? 5;
   }
-  constructor({ params = tileParams(), types = tileTypes(), names = ['berth-0', 'berth-1', 'berth-2'], zone = 'westlands', recordFile, logs, logLevel = 'info', useStateProxy = false } = {}) {
-    Object.assign(this, { params, types, names, zone, logs, logLevel, useStateProxy });
+  constructor({ params = tileParams(), types = tileTypes(), names = ['berth-0', 'berth-1', 'berth-2'], zone = 'westlands', recordFile, logs, logLevel = 'info', useStateProxy = false, useApiProxy = false } = {}) {
+    Object.assign(this, { params, types, names, zone, logs, logLevel, useStateProxy, useApiProxy });
     this.t0 = Date.now();
     this.out = recordFile ? createWriteStream(recordFile) : null;
     this.record = (o) => this.out?.write(`${((Date.now() - this.t0) / 1000).toFixed(3)} ${JSON.stringify(o)}\n`);
@@ -89,12 +89,20 @@
         await p.open();
         this.proxies.set(`${a.name}>${b.name}`, p);
       }
+    // The address that users and workers know; the process listens on `listens`.
+    for (const n of this.nodes) {
+      n.listens = n.api;
+      if (!this.useApiProxy) continue;
+      const p = new Proxy(n.api);
+      this.proxies.set(`api ${n.name}`, p);
+      n.api = await p.open();
+    }
     const line = /^run\s*=\s*"(.*)"/m.exec(readFileSync(join(ROOT, 'deploy/service.toml'), 'utf8'))[1];
     this.command = line.split(/\s+/);
     for (const n of this.nodes) {
       n.settings = join(this.dir, `${n.name}.json`);
       writeFileSync(n.settings, JSON.stringify({
-        node: n.name, zone: this.zone, api_addr: n.api, back: n.back,
+        node: n.name, zone: this.zone, api_addr: n.listens, back: n.back,
         seeds: this.nodes.filter((o) => o !== n).map((o) => ({ node: o.name, zone: this.zone, endpoint: this.proxies.get(`${n.name}>${o.name}`).address })),
         outside: { cloud: this.cloud.address, state: n.state },
         params: this.params,
@@ -145,6 +153,11 @@
     this.record({ ev: 'peers', node: n.name, mode });
     for (const [k, p] of this.proxies) if (k.includes('>') && k.split('>').includes(n.name)) p.set(mode);
   }
+  /** Cuts a node from everything: mode 'refuse' resets its connections and refuses new ones. */
+  cut(n, mode) {
+    this.record({ ev: 'cut from the network', node: n.name, mode });
+    for (const [k, p] of this.proxies) if (k === `api ${n.name}` || k === `state ${n.name}` || (k.includes('>') && k.split('>').includes(n.name))) p.set(mode);
+  }
   leader() {
     const d = this.store.keys.get('leader')?.data;
     return this.nodes.find((n) => n.name === d?.node) ?? null;
