--- a/review/lib/chaos.mjs
+++ b/review/lib/chaos.mjs
@@ -1,10 +1,12 @@
 // Random disruptions against a deployment; prints the rules that broke. Not a case: the search that
-// the report tells of. usage: node chaos.mjs SEED SECONDS [SCALE] [OUTDIR]
+// the report tells of. usage: node chaos.mjs SEED SECONDS [fast|site] [DIRECTORY] [hard]
 import { mkdirSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 import { sleep } from './net.mjs';
 import { jobOf, now, tileParams, World } from './world.mjs';
 
-const [seed, secs, kind = 'fast', out = '/tmp/chaos'] = process.argv.slice(2);
+const [seed, secs, kind = 'fast', out = join(tmpdir(), 'review-chaos')] = process.argv.slice(2);
 let s = Number(seed) * 2654435761 % 4294967296;
 const rnd = () => {
   s |= 0; s = (s + 0x6d2b79f5) | 0;
--- a/review/lib/net.mjs
+++ b/review/lib/net.mjs
@@ -76,8 +76,11 @@
     this.target = target;
     this.server = createTcp((a) => this.accept(a));
   }
+  /** A port below those that the system gives to connections: it must be free when it is asked back. */
   async open() {
-    this.address = await listen(this.server);
+    const port = await freePort();
+    await new Promise((r) => this.server.listen(port, '127.0.0.1', r));
+    this.address = `127.0.0.1:${port}`;
     return this.address;
   }
   accept(a) {
--- a/review/lib/world.mjs
+++ b/review/lib/world.mjs
@@ -192,11 +192,12 @@
   async end() {
     this.ending = true;
     clearInterval(this.sweeper);
-    for (const n of this.nodes) {
+    const started = this.nodes.filter((n) => n.child);
+    for (const n of started) {
       n.child.killedByTest = true;
       n.child.kill('SIGKILL');
     }
-    await Promise.all(this.nodes.map((n) => this.until(() => n.child.exitCode !== null || n.child.signalCode !== null, 5000, 'exit').catch(() => {})));
+    await Promise.all(started.map((n) => this.until(() => n.child.exitCode !== null || n.child.signalCode !== null, 5000, 'exit').catch(() => {})));
     this.cloud.close();
     this.store.close();
     for (const p of this.proxies.values()) p.close();
