A leader does not say that a job is queued unless it knows that none of its tasks runs

What callers saw: after a failover, jobs whose tasks went on running were `queued` with `running` 0 until their workers had reported to the new leader, and for as long as a machine with a task just sent to it was not heard.

Cause: the view counted the attempts whose machines had reported them as running, and called the job queued if there were none. An attempt that recovery read from the ledger (`unconfirmed`), one that was sent to a machine whose heartbeats are overdue, and those of an unreadable ledger segment may run all the same.

Change: `viewJob` has no view of such a job.

--- a/src/core/lifecycle/job-view.ts
+++ b/src/core/lifecycle/job-view.ts
@@ -1,7 +1,7 @@
 /** Views of a job for users and operators: its status, and why it waits. */
 
 import type { CoreState } from '../core-state.js';
-import type { Job, Placement } from '../model/entities.js';
+import type { Job, Machine, Placement } from '../model/entities.js';
 import type { JobId, TeamName } from '../model/ids.js';
 import type { JobOutcome, JobShape, Priority } from '../model/job.js';
 import type { Instant } from '../model/time.js';
@@ -10,6 +10,9 @@
 import type { JobScores } from '../scheduling/scoring.js';
 import { failsEverywhere } from './job-tasks.js';
 
+/** A reported state may lag behind by this much; only an end is never reported late by a lag. */
+export const MAX_STATE_LAG_MS = 3000;
+
 /** An unfinished job as users see it. */
 export interface CoreJobView {
   readonly id: JobId;
@@ -50,6 +53,9 @@
   readonly machinesBooting: number;
 }
 
+/** Why a job waits during a new leader's recovery, as text for users. */
+export const RECOVERING_TEXT = 'a new leader waits for the workers to report';
+
 type WaitReason =
   | { readonly kind: 'not-waiting' }
   | { readonly kind: 'recovering' }
@@ -67,6 +73,9 @@
 const BACKING_OFF: WaitReason = { kind: 'backing-off' };
 const QUOTA_USED_UP: WaitReason = { kind: 'quota-used-up' };
 
+/** A worker sends its next heartbeat at the latest after this many heartbeat intervals. */
+const MAX_HEARTBEAT_INTERVALS = 1.25;
+
 const isRunning = ({ phase }: Placement): boolean =>
   phase === 'running' || phase === 'checkpointing';
 
@@ -77,6 +86,41 @@
   return running;
 };
 
+/** Whether a heartbeat is overdue by more than the permitted lag of a reported state. */
+const isSilent = ({ config }: CoreState, machine: Machine, now: Instant): boolean =>
+  now - machine.lastHeartbeatAt >
+  config.heartbeatIntervalMs * MAX_HEARTBEAT_INTERVALS + MAX_STATE_LAG_MS;
+
+/** Whether the task may be running although its machine has not reported that to this leader. */
+const mayRunUnreported = (state: CoreState, placement: Placement, now: Instant): boolean => {
+  const { phase, machine, dispatchedEpoch } = placement;
+  switch (phase) {
+    case 'unconfirmed':
+      return true;
+    case 'dispatched':
+      return dispatchedEpoch !== null && isSilent(state, machine, now);
+    case 'fetching':
+      return isSilent(state, machine, now);
+    default:
+      return false;
+  }
+};
+
+/** The job's status, or null if this leader does not know whether a task runs. */
+const determineStatus = (
+  state: CoreState,
+  job: Job,
+  running: number,
+  now: Instant,
+): 'queued' | 'running' | null => {
+  if (running > 0) return 'running';
+  // An unreadable segment may hold attempts of any job.
+  if (state.unreadableSegments.size > 0) return null;
+  for (const placements of job.attemptsByTask.values())
+    if (placements.some((placement) => mayRunUnreported(state, placement, now))) return null;
+  return 'queued';
+};
+
 const countBootingMachines = (state: CoreState): number => {
   let booting = 0;
   for (const machine of state.machines.values()) if (!machine.hasReported) booting += 1;
@@ -101,7 +145,7 @@
     case 'not-waiting':
       return '';
     case 'recovering':
-      return 'a new leader waits for the workers to report';
+      return RECOVERING_TEXT;
     case 'backing-off':
       return 'pausing after failed tasks';
     case 'quota-used-up':
@@ -118,28 +162,79 @@
 const explainWait = (state: CoreState, job: Job, now: Instant): string =>
   describeWaitReason(state, findWaitReason(state, job, now));
 
-/**
- * The job as users see it. Returns null if this leader does not list it as unfinished, or if its
- * end is decided but not known to be stored: the key-value store must be read then. Another node
- * may have reported the stored end already, which "running" would contradict.
- */
-export const viewJob = (state: CoreState, id: JobId, now: Instant): CoreJobView | null => {
-  const job = state.jobs.get(id);
-  if (job?.terminalState !== 'none') return null;
+const viewListedJob = (state: CoreState, job: Job, now: Instant): CoreJobView | null => {
+  const { id, team, shape, tasks } = job.spec;
   const running = countRunningTasks(job);
+  const status = determineStatus(state, job, running, now);
+  if (status === null) return null;
   const waiting = explainWait(state, job, now);
   return {
     id,
-    team: job.spec.team,
-    shape: job.spec.shape,
-    tasks: job.spec.tasks,
-    status: running > 0 ? 'running' : 'queued',
-    done: Math.min(job.doneCount, job.spec.tasks),
+    team,
+    shape,
+    tasks,
+    status,
+    done: Math.min(job.doneCount, tasks),
     running,
     ...(waiting ? { waiting } : {}),
   };
 };
 
+/**
+ * The job as users see it. Returns null if this leader does not list it as unfinished, does not
+ * know whether a task of it runs, or has decided its end without knowing that it is stored: the
+ * key-value store must be read then. Another node may have reported the stored end already, which
+ * "running" would contradict.
+ */
+export const viewJob = (state: CoreState, id: JobId, now: Instant): CoreJobView | null => {
+  const job = state.jobs.get(id);
+  return job?.terminalState === 'none' ? viewListedJob(state, job, now) : null;
+};
+
+/**
+ * The job as users see it, for a caller that has just read its record in the key-value store: no
+ * end of it was stored then. `never-placed`: no task of it can run. Returns null if this leader
+ * does not know whether one runs.
+ */
+export const viewRecordedJob = (
+  state: CoreState,
+  id: JobId,
+  now: Instant,
+): CoreJobView | 'never-placed' | null => {
+  if (!state.isRecovered) return null;
+  const job = state.jobs.get(id);
+  if (job) return viewListedJob(state, job, now);
+  const isPlaceable = state.unreadableSegments.size > 0 || state.recentlyEndedJobs.has(id);
+  return isPlaceable ? null : 'never-placed';
+};
+
+/** How far an unfinished job has come: for a leader that reports on all of its jobs. */
+export interface JobProgress {
+  readonly id: JobId;
+  /** null if this leader does not know whether a task runs. */
+  readonly status: 'queued' | 'running' | null;
+  readonly done: number;
+  readonly running: number;
+}
+
+/** The progress of all jobs that have begun or may have; every other listed job is queued. */
+export const listJobProgress = (state: CoreState, now: Instant): JobProgress[] => {
+  const begun: JobProgress[] = [];
+  for (const job of state.jobs.values()) {
+    if (job.doneCount === 0 && job.attemptsByTask.size === 0) continue;
+    const running = countRunningTasks(job);
+    const status = determineStatus(state, job, running, now);
+    if (status === 'queued' && job.doneCount === 0) continue;
+    begun.push({
+      id: job.spec.id,
+      status,
+      done: Math.min(job.doneCount, job.spec.tasks),
+      running,
+    });
+  }
+  return begun;
+};
+
 const secondsToShadowTime = ({ shadowTime }: CoreState, now: Instant): number | null =>
   shadowTime === null ? null : Math.max(0, (shadowTime - now) / 1000);
 
