Find out whether an unfinished job runs before an answer from the store says so

Cause: the stored record of a job says only that it was accepted and has not ended, but every path that read it (a question whose leader does not answer, a peer's look-up, an admission that finds the id taken) showed it as `queued`.

Change: `UnfinishedJobResolver` asks what does know, in turn: - this node's own state as the leader, also of a job whose end is decided but not stored; - the leader, told that the record was read (`status` with `record`): it can then say of a job that it does not list that no task of it was ever placed; - a leader that does not answer, through the store: a follower writes `q/<node>`, the leader answers with `p/<part>`, the progress of all jobs that have begun. A report names the requests that it answers, so its age is known by the follower's own clock, and a late or older one is not used. It is fenced by the leader key; - the ledger: a job that it does not name has no task on any machine; - else 503, as no node knows. A view that an earlier version may have sent without knowing (`queued` with `no leader to ask`, or during a new leader's recovery) counts only with the mark `known`, which earlier versions ignore; they also ignore `record` and the new keys.

All former frames between controllers are compared as before, and the new ones apart.

--- a/src/adapters/configuration/settings.ts
+++ b/src/adapters/configuration/settings.ts
@@ -10,6 +10,8 @@
 
 const MAX_PORT = 65_535;
 const BYTES_PER_KB = 1024;
+/** Offset of the time of day where the settings omit it. */
+const DEFAULT_CLOCK_OFFSET_MS = 1000;
 /** Limits for a controller process where the settings omit them. */
 const DEFAULT_QUOTA = { cores: 1, memoryMb: 178, maxConnections: 1000 };
 
@@ -71,7 +73,7 @@
       }),
       {},
     ),
-    clock_off_ms: optionalAmount,
+    clock_off_ms: v.nullish(amount, DEFAULT_CLOCK_OFFSET_MS),
   }),
 });
 
@@ -121,6 +123,8 @@
   readonly keyValueStoreLimits: KeyValueStoreLimits;
   /** Requests per second that the cloud accepts, and how stale its machine list may be, in s. */
   readonly cloudLimits: { readonly rps: number; readonly listLagS: number };
+  /** How far this node's time of day may be from true time, in ms. */
+  readonly maxClockOffsetMs: number;
   readonly quota: {
     readonly cores: number;
     readonly memoryMb: number;
@@ -207,6 +211,7 @@
     },
     keyValueStoreLimits: storeLimitsOf(params),
     cloudLimits: { rps: params.cloud.rps, listLagS: params.cloud.list_lag_s },
+    maxClockOffsetMs: params.clock_off_ms,
     quota: quotaOf(params),
   };
 };
--- a/src/ports/peer.ts
+++ b/src/ports/peer.ts
@@ -7,8 +7,13 @@
  * answered with an empty result.
  */
 export type PeerRequest =
-  /** To the leader: returns a job's state, explains why it waits, or cancels it. */
-  | { readonly ask: 'status' | 'explain' | 'abort'; readonly job?: JobId | undefined }
+  /** To the leader: explains why a job waits, or cancels it. */
+  | { readonly ask: 'explain' | 'abort'; readonly job?: JobId | undefined }
+  /**
+   * To the leader: returns a job's state. `record` is the job's stored record if the sender has
+   * just read it: no end of the job was stored then.
+   */
+  | { readonly ask: 'status'; readonly job?: JobId | undefined; readonly record?: unknown }
   /** Looks up a job in the key-value store for a node that cannot reach it. */
   | { readonly ask: 'look'; readonly job?: JobId | undefined }
   /** To the leader: lists a team's unfinished jobs. */
--- a/src/service/controller.ts
+++ b/src/service/controller.ts
@@ -72,7 +72,12 @@
     });
     const currentTerm = () => this.leaderTerm;
     this.peerMonitor = new PeerMonitor(dependencies, this.election, currentTerm);
-    this.users = new JobService(dependencies, this.peerMonitor, currentTerm);
+    this.users = new JobService(
+      dependencies,
+      this.peerMonitor,
+      currentTerm,
+      this.election.incarnation,
+    );
     this.peerRequests = new PeerRequestHandler(
       dependencies,
       this.users,
--- /dev/null
+++ b/src/service/job-progress/placed-jobs.ts
@@ -0,0 +1,111 @@
+/**
+ * The jobs that the placement ledger names, as a node without the leader's state reads it. Every
+ * attempt is in the ledger before its start is sent: no task of a job that it does not name runs.
+ */
+import { steadyNow } from '../../adapters/runtime/clock.js';
+import type { JobId, Revision } from '../../core/model/ids.js';
+import type { Instant } from '../../core/model/time.js';
+import type { Change } from '../../ports/key-value-store.js';
+import type { Dependencies } from '../dependencies.js';
+import { LEDGER_PREFIX, LEGACY_LEDGER_PREFIX, listPlacedJobs } from '../stored-records.js';
+
+/** What was read is used for this long, which is well below the permitted lag. */
+const MAX_AGE_MS = 500;
+/** What was read is dropped after this time without a question. */
+const IDLE_MS = 30_000;
+/** Pause after a failed read. */
+const RETRY_MS = 500;
+/** The store answers at once with the changes so far. */
+const NO_WAIT_MS = 0;
+
+/** Jobs by ledger segment; null for a segment that is unreadable and may name any job. */
+type JobsBySegment = Map<string, readonly JobId[] | null>;
+
+interface LedgerCopy {
+  readonly segments: JobsBySegment;
+  readonly revision: Revision;
+  /** When the newest read was sent. */
+  readonly readAt: Instant;
+  /** Every job that a segment names; null if a segment is unreadable. */
+  readonly jobs: ReadonlySet<JobId> | null;
+}
+
+const createCopy = (segments: JobsBySegment, revision: Revision, readAt: Instant): LedgerCopy => {
+  const jobs = new Set<JobId>();
+  for (const named of segments.values()) {
+    if (named === null) return { segments, revision, readAt, jobs: null };
+    for (const job of named) jobs.add(job);
+  }
+  return { segments, revision, readAt, jobs };
+};
+
+const applyChanges = (segments: JobsBySegment, changes: readonly Change[]): void => {
+  for (const change of changes) {
+    if ('value' in change) segments.set(change.key, listPlacedJobs(change.value));
+    else segments.delete(change.key);
+  }
+};
+
+/** Reads the ledger when asked, and then only its changes. */
+export class PlacedJobs {
+  private copy: LedgerCopy | null = null;
+  private pendingRead: Promise<void> | null = null;
+  private readNotBefore = 0;
+  private dropTimer: NodeJS.Timeout | null = null;
+
+  constructor(private readonly dependencies: Pick<Dependencies, 'batchStore'>) {}
+
+  /**
+   * Whether the ledger names the job, at most the permitted lag ago; null if the ledger was not
+   * read or may name any job.
+   */
+  async includes(id: JobId): Promise<boolean | null> {
+    if (!this.isFresh() && steadyNow() >= this.readNotBefore) this.pendingRead ??= this.read();
+    await this.pendingRead;
+    if (!this.isFresh()) return null;
+    return this.copy?.jobs?.has(id) ?? null;
+  }
+
+  private isFresh(): boolean {
+    return this.copy !== null && steadyNow() - this.copy.readAt < MAX_AGE_MS;
+  }
+
+  private async read(): Promise<void> {
+    const copy = (this.copy && (await this.readChanges(this.copy))) ?? (await this.readAll());
+    if (copy) {
+      this.copy = copy;
+      this.dropWhenIdle();
+    } else this.readNotBefore = steadyNow() + RETRY_MS;
+    this.pendingRead = null;
+  }
+
+  /** Reads pages, then the changes since: a row may have moved to a page that was read before. */
+  private async readAll(): Promise<LedgerCopy | null> {
+    const { batchStore } = this.dependencies;
+    const [ledger, legacy] = await Promise.all([
+      batchStore.listAll(LEDGER_PREFIX),
+      batchStore.listAll(LEGACY_LEDGER_PREFIX),
+    ]);
+    if (ledger.kind !== 'listed' || legacy.kind !== 'listed') return null;
+    const segments: JobsBySegment = new Map();
+    for (const { key, value } of ledger.items) segments.set(key, listPlacedJobs(value));
+    for (const { key } of legacy.items) segments.set(key, null);
+    return this.readChanges(createCopy(segments, ledger.revision, steadyNow()));
+  }
+
+  private async readChanges({ segments, revision }: LedgerCopy): Promise<LedgerCopy | null> {
+    const readAt = steadyNow();
+    const result = await this.dependencies.batchStore.watch(LEDGER_PREFIX, revision, NO_WAIT_MS);
+    if (result.kind !== 'changes') return null;
+    applyChanges(segments, result.changes);
+    return createCopy(segments, result.revision, readAt);
+  }
+
+  private dropWhenIdle(): void {
+    if (this.dropTimer) clearTimeout(this.dropTimer);
+    this.dropTimer = setTimeout(() => {
+      this.copy = null;
+    }, IDLE_MS);
+    this.dropTimer.unref();
+  }
+}
--- /dev/null
+++ b/src/service/job-progress/progress-publisher.ts
@@ -0,0 +1,122 @@
+/**
+ * The leader's side of progress reports: publishes one in the key-value store whenever a follower
+ * asks for it there, because connections between controllers fail.
+ */
+import { sleep, steadyNow } from '../../adapters/runtime/clock.js';
+import { listJobProgress } from '../../core/lifecycle/job-view.js';
+import type { NodeId, Revision } from '../../core/model/ids.js';
+import type { Change, Mutation, Precondition } from '../../ports/key-value-store.js';
+import type { CommandLoop } from '../command-loop.js';
+import type { Dependencies } from '../dependencies.js';
+import {
+  decodeProgressRequest,
+  encodeProgressReport,
+  LEADER_KEY,
+  PROGRESS_REQUEST_PREFIX,
+  type ProgressRequest,
+  progressReportKey,
+} from '../stored-records.js';
+import type { TermContext } from '../term-context.js';
+
+/** How long the store holds one watch request open. */
+const WATCH_POLL_TIMEOUT_MS = 30_000;
+const RETRY_MS = 200;
+/** Shortest time between two reports: one report answers the requests of several followers. */
+const MIN_INTERVAL_MS = 300;
+/** A follower does not wait longer for its answer. */
+const WRITE_TIMEOUT_MS = 1000;
+/** Bounds a report to what one transaction takes. */
+const MAX_REPORT_BYTES = 48_000;
+/** Share of the maximum value size: the store may count sizes differently. */
+const VALUE_FILL_SHARE = 0.9;
+
+/** Components that the publisher reads from. */
+export interface ProgressPublisherOptions {
+  readonly dependencies: Pick<Dependencies, 'batchStore' | 'jitter' | 'log' | 'settings'>;
+  readonly term: TermContext;
+  readonly commandLoop: CommandLoop;
+}
+
+/** Publishes progress reports during one leader term. */
+export class ProgressPublisher {
+  /** The newest request of each controller. */
+  private readonly requests = new Map<NodeId, ProgressRequest>();
+
+  constructor(private readonly options: ProgressPublisherOptions) {}
+
+  /** Answers requests made after revision `from`, until the term has ended. */
+  async run(from: Revision): Promise<void> {
+    const { dependencies, term } = this.options;
+    let revision = from;
+    while (term.isCurrent) {
+      const result = await dependencies.batchStore.watch(
+        PROGRESS_REQUEST_PREFIX,
+        revision,
+        WATCH_POLL_TIMEOUT_MS,
+      );
+      if (!term.isCurrent) return;
+      if (result.kind === 'changes') {
+        revision = result.revision;
+        if (this.recordRequests(result.changes)) {
+          await this.publish();
+          await sleep(MIN_INTERVAL_MS);
+        }
+      } else if (result.kind === 'too-old') {
+        // A request that this misses is repeated.
+        revision = (await this.currentRevision()) ?? revision;
+      } else await sleep(dependencies.jitter.apply(RETRY_MS));
+    }
+  }
+
+  private async currentRevision(): Promise<Revision | null> {
+    const listing = await this.options.dependencies.batchStore.listAll(PROGRESS_REQUEST_PREFIX);
+    return listing.kind === 'listed' ? listing.revision : null;
+  }
+
+  /** Returns whether the changes hold a request. */
+  private recordRequests(changes: readonly Change[]): boolean {
+    let hasRequest = false;
+    for (const change of changes) {
+      const request = 'value' in change ? decodeProgressRequest(change.value) : null;
+      if (!request) continue;
+      this.requests.set(change.key.slice(PROGRESS_REQUEST_PREFIX.length) as NodeId, request);
+      hasRequest = true;
+    }
+    return hasRequest;
+  }
+
+  /**
+   * Writes a report under the leader key's revision: that of a deposed leader is refused. A failure
+   * is not retried, since followers repeat their requests.
+   */
+  private async publish(): Promise<void> {
+    const { dependencies, term, commandLoop } = this.options;
+    if (term.authority() !== 'lead' || !commandLoop.core.isRecovered) return;
+    const jobs = listJobProgress(commandLoop.core, steadyNow());
+    const parts = encodeProgressReport({ requests: this.requests, jobs }, this.limits());
+    const preconditions: Precondition[] = [
+      { key: LEADER_KEY, revision: term.fencingToken as number as Revision },
+    ];
+    const mutations = parts.map(
+      (value, part): Mutation => ({ put: progressReportKey(part), value }),
+    );
+    const { kind: outcome } = await dependencies.batchStore.compareAndSwap(
+      preconditions,
+      mutations,
+      WRITE_TIMEOUT_MS,
+      WRITE_TIMEOUT_MS,
+    );
+    dependencies.log.debug(
+      { outcome, jobs: jobs.length, parts: parts.length, nodes: [...this.requests.keys()] },
+      'progress report published',
+    );
+  }
+
+  private limits() {
+    const { maxValueBytes, maxTransactionOperations } =
+      this.options.dependencies.settings.keyValueStoreLimits;
+    const maxPartBytes = Math.min(maxValueBytes * VALUE_FILL_SHARE, MAX_REPORT_BYTES);
+    const maxParts = Math.min(maxTransactionOperations, MAX_REPORT_BYTES / maxPartBytes);
+    return { maxPartBytes, maxParts: Math.max(1, Math.floor(maxParts)) };
+  }
+}
--- a/src/service/jobs/cancellation-service.ts
+++ b/src/service/jobs/cancellation-service.ts
@@ -31,11 +31,13 @@
     const leader = this.peerMonitor.leaderPeer();
     const job = leader && (await requestCancellation(leader, id));
     if (job && this.completions.addIfEnded(job)) return { kind: 'found', job };
-    const stored = await this.queries.lookUpInStore(id);
-    const isUnfinished =
-      stored.kind === 'found' &&
-      (stored.job.status === 'queued' || stored.job.status === 'running');
-    return isUnfinished ? STORE_UNAVAILABLE : stored;
+    return this.lookUpEnd(id);
+  }
+
+  /** Looks up a stored end; an unfinished job is not cancelled, so the user must retry. */
+  private async lookUpEnd(id: JobId): Promise<LookupResult> {
+    const stored = await this.queries.readStored(id);
+    return stored.kind === 'unfinished' ? STORE_UNAVAILABLE : stored;
   }
 
   /** Cancels a job as leader; returns unavailable without a term or a valid leader lease. */
@@ -47,7 +49,7 @@
       if (result.kind === 'timed-out') return STORE_UNAVAILABLE;
       if (result.kind === 'ended') {
         const ended = this.completions.view(id);
-        return ended ? { kind: 'found', job: ended } : this.queries.lookUpInStore(id);
+        return ended ? { kind: 'found', job: ended } : this.lookUpEnd(id);
       }
       // Unknown to this leader, but perhaps just accepted by another controller.
       const stored = await this.dependencies.store.get(jobKey(id));
@@ -55,8 +57,6 @@
       const { key, value, revision } = stored.item;
       term.addStoredJob(key, value, revision);
     }
-    const stored = await this.queries.lookUpInStore(id);
-    const isQueued = stored.kind === 'found' && stored.job.status === 'queued';
-    return isQueued ? STORE_UNAVAILABLE : stored;
+    return this.lookUpEnd(id);
   }
 }
--- a/src/service/jobs/job-query-service.ts
+++ b/src/service/jobs/job-query-service.ts
@@ -1,10 +1,11 @@
 /**
- * Job queries. Stored completions may come from any cache; other state must come from the leader
- * under a valid lease or from the key-value store: any other source could be older than what
- * another node has reported.
+ * Job queries. Stored completions may come from any cache. That a job is unfinished must come from
+ * the leader under a valid lease or from the key-value store: any other source could be older than
+ * what another node has reported. The store alone does not tell whether an unfinished job runs;
+ * `UnfinishedJobResolver` finds out.
  */
 import { steadyNow } from '../../adapters/runtime/clock.js';
-import { explainJob, viewJob } from '../../core/lifecycle/job-view.js';
+import { explainJob, viewJob, viewRecordedJob } from '../../core/lifecycle/job-view.js';
 import type { JobId, TeamName } from '../../core/model/ids.js';
 import type { ExplainResult, JobView, ListResult, LookupResult } from '../../ports/user-api.js';
 import type { Dependencies } from '../dependencies.js';
@@ -13,16 +14,32 @@
 import {
   requestExplanation,
   requestJobList,
-  requestJobView,
+  requestLeaderView,
   requestLookup,
 } from '../peers/peer-requests.js';
-import { completionKey, decodeCompletion, decodeJob, jobKey } from '../stored-records.js';
+import { completionKey, decodeCompletion, jobKey } from '../stored-records.js';
 import type { CompletionCache } from './completion-cache.js';
-import { STORE_UNAVAILABLE, viewOfAcceptedJob, viewOfCompletion } from './job-views.js';
+import {
+  NO_LEADER_TEXT,
+  PROGRESS_UNKNOWN,
+  STORE_UNAVAILABLE,
+  viewOfCompletion,
+} from './job-views.js';
+import type { UnfinishedJobResolver } from './unfinished-job-resolver.js';
 
 /** Keeps a list within one frame between controllers. */
 const MAX_LISTED_JOBS = 200;
-const NO_LEADER = 'no leader to ask';
+
+/** A job's record is read again if its answer takes longer: another node may report the end. */
+const MAX_READ_AGE_MS = 50;
+
+/** What the key-value store holds of a job. */
+export type StoredJobState =
+  | { readonly kind: 'found'; readonly job: JobView }
+  | { readonly kind: 'not-found' }
+  /** Accepted, and not ended at the time of the reading; `record` may be unreadable. */
+  | { readonly kind: 'unfinished'; readonly record: unknown }
+  | typeof STORE_UNAVAILABLE;
 
 /** Answers job queries on any controller. */
 export class JobQueryService {
@@ -31,6 +48,7 @@
     private readonly completions: CompletionCache,
     private readonly peerMonitor: PeerMonitor,
     private readonly currentTerm: () => LeaderTerm | null,
+    private readonly unfinishedJobs: UnfinishedJobResolver,
   ) {}
 
   /** The current term if this node leads with a valid lease, else null. */
@@ -47,11 +65,21 @@
     return term && viewJob(term.commandLoop.core, id, steadyNow());
   }
 
-  /** Looks a job up in the key-value store; caches a completion that it finds. */
-  async lookUpInStore(id: JobId): Promise<LookupResult> {
+  /**
+   * This leader's view of a job whose record was just read in the store; null if this node does not
+   * lead with a valid lease, or does not know.
+   */
+  viewRecordedLocally(id: JobId): JobView | 'never-placed' | null {
+    const term = this.authoritativeTerm();
+    return term && viewRecordedJob(term.commandLoop.core, id, steadyNow());
+  }
+
+  /** Reads a job in the key-value store; caches a completion that it finds. */
+  async readStored(id: JobId): Promise<StoredJobState> {
     // The job record must be read first: one transaction replaces it by the completion.
     const job = await this.dependencies.store.get(jobKey(id));
-    if (job.kind === 'found') return { kind: 'found', job: this.viewOfRecord(id, job.item.value) };
+    // Even an unreadable record proves that the job was accepted.
+    if (job.kind === 'found') return { kind: 'unfinished', record: job.item.value };
     if (job.kind !== 'absent') return STORE_UNAVAILABLE;
     const stored = await this.dependencies.store.get(completionKey(id));
     if (stored.kind === 'absent') return { kind: 'not-found' };
@@ -61,12 +89,25 @@
     return { kind: 'found', job: viewOfCompletion(id, completion) };
   }
 
-  private viewOfRecord(id: JobId, value: unknown): JobView {
-    const record = decodeJob(value);
-    const waiting = NO_LEADER;
-    if (record) return { ...viewOfAcceptedJob(record.spec), id, waiting };
-    // Even an unreadable record proves that the job was accepted.
-    return { id, team: '' as TeamName, status: 'queued', done: 0, running: 0, waiting };
+  /**
+   * Looks a job up in the key-value store, and finds out whether an unfinished one runs.
+   * `isLeaderSilent`: the leader has just left a request unanswered, and is not asked again.
+   */
+  async lookUpInStore(id: JobId, isLeaderSilent = false): Promise<LookupResult> {
+    const stored = await this.readStored(id);
+    if (stored.kind !== 'unfinished') return stored;
+    const readAt = steadyNow();
+    const ownView = this.viewRecordedLocally(id);
+    const job = await this.unfinishedJobs.resolve({
+      id,
+      record: stored.record,
+      ownView,
+      isLeaderSilent,
+    });
+    if (!job) return PROGRESS_UNKNOWN;
+    if (steadyNow() - readAt < MAX_READ_AGE_MS) return { kind: 'found', job };
+    const reread = await this.readStored(id);
+    return reread.kind === 'unfinished' ? { kind: 'found', job } : reread;
   }
 
   /** Queries this node, the leader, then the store, or, if it is down, a peer that reaches it. */
@@ -74,12 +115,12 @@
     const local = this.viewLocally(id);
     if (local) return { kind: 'found', job: local };
     const leader = this.peerMonitor.leaderPeer();
-    const job = leader && (await requestJobView(leader, id));
-    if (job) {
-      this.completions.addIfEnded(job);
-      return { kind: 'found', job };
+    const view = leader && (await requestLeaderView(leader, id));
+    if (view?.kind === 'viewed') {
+      this.completions.addIfEnded(view.job);
+      return { kind: 'found', job: view.job };
     }
-    if (!this.dependencies.store.isDown) return this.lookUpInStore(id);
+    if (!this.dependencies.store.isDown) return this.lookUpInStore(id, view?.kind === 'unanswered');
     const peer = this.peerMonitor.reachablePeer();
     const answer = peer && (await requestLookup(peer, id));
     return answer ?? STORE_UNAVAILABLE;
@@ -124,6 +165,6 @@
     if (local) return { kind: 'listed', jobs: local };
     const leader = this.peerMonitor.leaderPeer();
     const jobs = leader && (await requestJobList(leader, team));
-    return jobs ? { kind: 'listed', jobs } : { kind: 'unavailable', reason: NO_LEADER };
+    return jobs ? { kind: 'listed', jobs } : { kind: 'unavailable', reason: NO_LEADER_TEXT };
   }
 }
--- a/src/service/jobs/job-service.ts
+++ b/src/service/jobs/job-service.ts
@@ -9,12 +9,15 @@
   UserApi,
 } from '../../ports/user-api.js';
 import type { Dependencies } from '../dependencies.js';
+import { PlacedJobs } from '../job-progress/placed-jobs.js';
+import { ProgressReader } from '../job-progress/progress-reader.js';
 import type { LeaderTerm } from '../leader-term.js';
 import type { PeerMonitor } from '../peers/peer-monitor.js';
 import { CancellationService } from './cancellation-service.js';
 import { CompletionCache } from './completion-cache.js';
 import { JobQueryService } from './job-query-service.js';
 import { SubmissionService } from './submission-service.js';
+import { UnfinishedJobResolver } from './unfinished-job-resolver.js';
 
 /** Implements the user port with three services; peers' requests call these directly. */
 export class JobService implements UserApi {
@@ -27,9 +30,23 @@
     dependencies: Dependencies,
     peerMonitor: PeerMonitor,
     currentTerm: () => LeaderTerm | null,
+    /** Identifies this process among those of its node. */
+    incarnation: string,
   ) {
     const { completions } = this;
-    this.queries = new JobQueryService(dependencies, completions, peerMonitor, currentTerm);
+    const unfinishedJobs = new UnfinishedJobResolver(
+      dependencies,
+      peerMonitor,
+      new ProgressReader(dependencies, incarnation),
+      new PlacedJobs(dependencies),
+    );
+    this.queries = new JobQueryService(
+      dependencies,
+      completions,
+      peerMonitor,
+      currentTerm,
+      unfinishedJobs,
+    );
     this.submissions = new SubmissionService(dependencies, this.queries, peerMonitor, currentTerm);
     this.cancellations = new CancellationService(
       dependencies,
--- a/src/service/jobs/job-views.ts
+++ b/src/service/jobs/job-views.ts
@@ -10,6 +10,15 @@
   reason: 'state service away',
 } as const satisfies LookupResult;
 
+/** Result when no controller knows whether a task of the unfinished job runs. */
+export const PROGRESS_UNKNOWN = {
+  kind: 'unavailable',
+  reason: 'not known now whether its tasks run',
+} as const satisfies LookupResult;
+
+/** What a view says of the wait of a job that the leader did not describe. */
+export const NO_LEADER_TEXT = 'no leader to ask';
+
 /** View of an ended job; `done` is 0 after a cancellation, as the number is not stored. */
 export const viewOfCompletion = (id: JobId, completion: JobCompletion): JobView => ({
   id,
@@ -19,7 +28,7 @@
   running: 0,
 });
 
-/** View of an accepted job whose further state is unknown. */
+/** View of an accepted job of which no task runs or has ended. */
 export const viewOfAcceptedJob = ({ id, team, shape, tasks }: JobSpec): JobView => ({
   id,
   team,
--- a/src/service/leader-term.ts
+++ b/src/service/leader-term.ts
@@ -18,6 +18,7 @@
 import type { Dependencies } from './dependencies.js';
 import { EffectRunner } from './effect-runner.js';
 import { JobIntake } from './job-intake.js';
+import { ProgressPublisher } from './job-progress/progress-publisher.js';
 import { JobWatch } from './job-watch.js';
 import type { LeaderElection } from './leader-election.js';
 import { MachinePoller } from './machine-poller.js';
@@ -179,8 +180,10 @@
     const { dependencies, jobIntake, commandLoop } = this;
     const jobWatch = new JobWatch({ dependencies, term: this, jobIntake, commandLoop });
     const machinePoller = new MachinePoller(dependencies, this, commandLoop);
+    const progressPublisher = new ProgressPublisher({ dependencies, term: this, commandLoop });
     commandLoop.start(commands);
     dependencies.runInBackground('job-watch', () => jobWatch.run(jobsRevision));
+    dependencies.runInBackground('progress-publisher', () => progressPublisher.run(jobsRevision));
     dependencies.runInBackground('ticks', () => this.runTicks());
     dependencies.runInBackground('machine-poller', () => machinePoller.run());
   }
--- a/src/service/peers/peer-messages.ts
+++ b/src/service/peers/peer-messages.ts
@@ -4,8 +4,10 @@
  */
 import * as v from 'valibot';
 import type { OperatorAnswer } from '../../core/extensions/extension.js';
+import { RECOVERING_TEXT } from '../../core/lifecycle/job-view.js';
 import type { FencingToken, JobId, NodeId } from '../../core/model/ids.js';
 import type { JobView, LookupResult, SubmissionResult } from '../../ports/user-api.js';
+import { NO_LEADER_TEXT } from '../jobs/job-views.js';
 
 // ---- jobs ------------------------------------------------------------------------------------
 
@@ -27,14 +29,57 @@
   return result.success ? (result.output as JobView) : null;
 };
 
+/** Earlier versions say `queued` with these texts without knowing whether a task runs. */
+const DOUBTFUL_TEXTS: readonly (string | undefined)[] = [NO_LEADER_TEXT, RECOVERING_TEXT];
+
+const isDoubtful = ({ status, waiting }: JobView): boolean =>
+  status === 'queued' && DOUBTFUL_TEXTS.includes(waiting);
+
+/** Marks a view that earlier versions would also send without knowing that it is true. */
+export const encodeKnownView = (job: JobView): object =>
+  isDoubtful(job) ? { ...job, known: true } : job;
+
+const markSchema = v.object({ known: v.literal(true) });
+
+/** Decodes a view that the peer knows to be true; null for any other answer. */
+export const decodeKnownView = (answer: unknown): JobView | null => {
+  const job = decodeJobView(answer);
+  return job && isDoubtful(job) && !v.is(markSchema, answer) ? null : job;
+};
+
+/** What the leader knows of a job that is not ended. */
+export type LeaderView =
+  | { readonly kind: 'viewed'; readonly job: JobView }
+  /** The job's record is stored, and no task of it was ever placed. */
+  | { readonly kind: 'never-placed' }
+  /** The leader answers, but does not know. */
+  | { readonly kind: 'unknown' }
+  | { readonly kind: 'unanswered' };
+
+const NEVER_PLACED = 'unplaced';
+
+/** Encodes the leader's view; null if it has none. */
+export const encodeLeaderView = (view: JobView | 'never-placed' | null): object | string | null => {
+  if (view === 'never-placed') return NEVER_PLACED;
+  return view && encodeKnownView(view);
+};
+
+/** Decodes the leader's view; `undefined` stands for no answer. */
+export const decodeLeaderView = (answer: unknown, id: JobId): LeaderView => {
+  if (answer === undefined) return { kind: 'unanswered' };
+  if (answer === NEVER_PLACED) return { kind: 'never-placed' };
+  const job = decodeKnownView(answer);
+  return job?.id === id ? { kind: 'viewed', job } : { kind: 'unknown' };
+};
+
 const NOT_FOUND = 'absent';
 const UNAVAILABLE = 'later';
 
 /** Encodes a look-up result as the job view, or a constant without one. */
-export const encodeLookup = (result: LookupResult): JobView | string => {
+export const encodeLookup = (result: LookupResult): object | string => {
   switch (result.kind) {
     case 'found':
-      return result.job;
+      return encodeKnownView(result.job);
     case 'not-found':
       return NOT_FOUND;
     case 'unavailable':
@@ -42,10 +87,10 @@
   }
 };
 
-/** Decodes a look-up result; null if unavailable, invalid or for another job. */
+/** Decodes a look-up result; null if unavailable, in doubt, invalid or for another job. */
 export const decodeLookup = (answer: unknown, id: JobId): LookupResult | null => {
   if (answer === NOT_FOUND) return { kind: 'not-found' };
-  const job = decodeJobView(answer);
+  const job = decodeKnownView(answer);
   return job?.id === id ? { kind: 'found', job } : null;
 };
 
@@ -61,21 +106,23 @@
 /** Encodes an admission result for the requesting peer. */
 export const encodeAdmission = (result: SubmissionResult): object => {
   const kind = ADMISSION_KINDS[result.kind];
-  return 'job' in result ? { kind, view: result.job } : { kind, reason: result.reason };
+  return 'job' in result
+    ? { kind, view: encodeKnownView(result.job) }
+    : { kind, reason: result.reason };
 };
 
 const admissionSchema = v.object({
   kind: v.picklist([ADMISSION_KINDS.accepted, ADMISSION_KINDS['already-known']]),
-  view: jobViewSchema,
+  view: v.unknown(),
 });
 
-/** Decodes an admission result; null unless the job is accepted, now or before. */
+/** Decodes an admission result; null unless the job is accepted, now or before, in a known state. */
 export const decodeAdmission = (answer: unknown, id: JobId): SubmissionResult | null => {
   const result = v.safeParse(admissionSchema, answer);
-  if (!result.success || result.output.view.id !== id) return null;
-  const { kind, view } = result.output;
-  const isNew = kind === ADMISSION_KINDS.accepted;
-  return { kind: isNew ? 'accepted' : 'already-known', job: view as JobView };
+  const job = result.success ? decodeKnownView(result.output.view) : null;
+  if (!result.success || job?.id !== id) return null;
+  const isNew = result.output.kind === ADMISSION_KINDS.accepted;
+  return { kind: isNew ? 'accepted' : 'already-known', job };
 };
 
 // ---- health ----------------------------------------------------------------------------------
--- a/src/service/peers/peer-request-handler.ts
+++ b/src/service/peers/peer-request-handler.ts
@@ -1,15 +1,23 @@
-/** Answers requests from other controllers. No request is forwarded a second time. */
+/**
+ * Answers requests from other controllers. No request is forwarded a second time; a look-up may ask
+ * the leader for its view, which the leader answers from its own state.
+ */
 
 import type { OperatorAnswer } from '../../core/extensions/extension.js';
 import type { JobId } from '../../core/model/ids.js';
 import type { PeerRequest } from '../../ports/peer.js';
-import type { JobView } from '../../ports/user-api.js';
 import type { Dependencies } from '../dependencies.js';
 import type { JobService } from '../jobs/job-service.js';
 import { STORE_UNAVAILABLE } from '../jobs/job-views.js';
 import type { LeaderTerm } from '../leader-term.js';
 import { decodeJob } from '../stored-records.js';
-import { encodeAdmission, encodeHealth, encodeLookup } from './peer-messages.js';
+import {
+  encodeAdmission,
+  encodeHealth,
+  encodeKnownView,
+  encodeLeaderView,
+  encodeLookup,
+} from './peer-messages.js';
 import type { PeerMonitor } from './peer-monitor.js';
 
 /** Dispatches each kind of request; the answer is null if this node has none. */
@@ -24,7 +32,7 @@
   async handle(request: PeerRequest): Promise<unknown> {
     switch (request.ask) {
       case 'status':
-        return request.job ? this.jobs.queries.viewLocally(request.job) : null;
+        return request.job ? this.handleStatus(request.job, request.record) : null;
       case 'abort':
         return this.handleCancellation(request.job);
       case 'explain':
@@ -44,7 +52,14 @@
     }
   }
 
-  private async handleCancellation(job: JobId | undefined): Promise<JobView | string> {
+  private handleStatus(job: JobId, record: unknown): object | string | null {
+    const { queries } = this.jobs;
+    const local = queries.viewLocally(job);
+    if (local || record === undefined) return encodeLeaderView(local);
+    return encodeLeaderView(queries.viewRecordedLocally(job));
+  }
+
+  private async handleCancellation(job: JobId | undefined): Promise<object | string> {
     if (!job || !this.currentTerm()) return encodeLookup(STORE_UNAVAILABLE);
     return encodeLookup(await this.jobs.cancellations.cancelAsLeader(job));
   }
@@ -58,9 +73,11 @@
     return term.handleOperatorCall(extension, call);
   }
 
-  private async handleLookup(job: JobId): Promise<JobView | string> {
+  private async handleLookup(job: JobId): Promise<object | string> {
     const local = this.jobs.queries.viewLocally(job);
-    return local ?? encodeLookup(await this.jobs.queries.lookUpInStore(job));
+    return local
+      ? encodeKnownView(local)
+      : encodeLookup(await this.jobs.queries.lookUpInStore(job));
   }
 
   private async handleAdmission(stored: unknown): Promise<object | null> {
--- a/src/service/peers/peer-requests.ts
+++ b/src/service/peers/peer-requests.ts
@@ -9,8 +9,10 @@
   decodeAdmission,
   decodeHealth,
   decodeJobView,
+  decodeLeaderView,
   decodeLookup,
   decodeOperatorAnswer,
+  type LeaderView,
   type PeerHealth,
 } from './peer-messages.js';
 
@@ -27,11 +29,17 @@
   operatorCall: 4000,
 } as const;
 
-/** Requests the leader's view of a job; null also if the leader has no valid lease. */
-export const requestJobView = async (leader: Peer, id: JobId): Promise<JobView | null> => {
-  const job = decodeJobView(await leader.request({ ask: 'status', job: id }, TIMEOUT_MS.query));
-  return job?.id === id ? job : null;
-};
+/** Requests the leader's view of a job; `unknown` also if the leader has no valid lease. */
+export const requestLeaderView = async (leader: Peer, id: JobId): Promise<LeaderView> =>
+  decodeLeaderView(await leader.request({ ask: 'status', job: id }, TIMEOUT_MS.query), id);
+
+/** Requests the leader's view of a job whose stored record this node has just read. */
+export const requestRecordedJobView = async (
+  leader: Peer,
+  id: JobId,
+  record: unknown,
+): Promise<LeaderView> =>
+  decodeLeaderView(await leader.request({ ask: 'status', job: id, record }, TIMEOUT_MS.query), id);
 
 /** Requests a look-up from a peer that, unlike this node, reaches the store. */
 export const requestLookup = async (peer: Peer, id: JobId): Promise<LookupResult | null> =>
--- a/src/service/stored-records.ts
+++ b/src/service/stored-records.ts
@@ -23,14 +23,30 @@
   LEDGER_PREFIX,
   LEGACY_LEDGER_PREFIX,
   MACHINE_TYPES_KEY,
+  PROGRESS_REPORT_PREFIX,
+  PROGRESS_REQUEST_PREFIX,
+  progressReportKey,
+  progressRequestKey,
 } from './stored-records/keys.js';
 /** The leader. */
 export { decodeLeader, type LeaderRecord } from './stored-records/leader-record.js';
 /** The cloud's machine types. */
 export { decodeMachineTypes } from './stored-records/machine-types-record.js';
+/** Requests for a progress report, and the reports. */
+export {
+  decodeProgressPart,
+  decodeProgressRequest,
+  encodeProgressReport,
+  encodeProgressRequest,
+  isSameRequest,
+  type ProgressPart,
+  type ProgressReport,
+  type ProgressRequest,
+} from './stored-records/progress-record.js';
 /** Segments of the placement ledger. */
 export {
   decodeSegment,
   encodeSegment,
+  listPlacedJobs,
   type SegmentRecord,
 } from './stored-records/segment-record.js';
--- a/src/service/stored-records/keys.ts
+++ b/src/service/stored-records/keys.ts
@@ -1,6 +1,6 @@
 /** Keys of the key-value store. Each kind of record has its own prefix. */
 import { SEGMENT_PREFIX } from '../../core/ledger/segments.js';
-import type { JobId } from '../../core/model/ids.js';
+import type { JobId, NodeId } from '../../core/model/ids.js';
 
 /** The leader record, attached to the leader's lease; its revision is the fencing token. */
 export const LEADER_KEY = 'leader';
@@ -20,6 +20,12 @@
 /** Ledger format of early versions, with one key per machine. Its records count as unreadable. */
 export const LEGACY_LEDGER_PREFIX = 'm/';
 
+/** Followers' requests for a progress report: one key for each controller, which stays. */
+export const PROGRESS_REQUEST_PREFIX = 'q/';
+
+/** Parts of the leader's newest progress report. */
+export const PROGRESS_REPORT_PREFIX = 'p/';
+
 /** Records of extensions. */
 const EXTENSION_PREFIX = 'x/';
 
@@ -35,3 +41,9 @@
 
 /** Key of a job's completion, which replaces the job's record. */
 export const completionKey = (id: JobId): string => `${COMPLETION_PREFIX}${id}`;
+
+/** Key of a controller's request for a progress report. */
+export const progressRequestKey = (node: NodeId): string => `${PROGRESS_REQUEST_PREFIX}${node}`;
+
+/** Key of one part of the progress report. */
+export const progressReportKey = (part: number): string => `${PROGRESS_REPORT_PREFIX}${part}`;
--- a/src/service/stored-records/segment-record.ts
+++ b/src/service/stored-records/segment-record.ts
@@ -153,3 +153,14 @@
     progress.push(decodeProgress(job, firstTask, bits));
   return { machines, progress };
 };
+
+const placedJobsSchema = v.object({ j: v.array(v.looseTuple([brandedString<JobId>()])) });
+
+/**
+ * The jobs to which a segment's attempts belong, without decoding the attempts; null if the segment
+ * is unreadable.
+ */
+export const listPlacedJobs = (value: unknown): JobId[] | null => {
+  const parsed = v.safeParse(placedJobsSchema, value);
+  return parsed.success ? parsed.output.j.map(([job]) => job) : null;
+};
--- /dev/null
+++ b/test/job-status.test.ts
@@ -0,0 +1,251 @@
+/**
+ * What users are told of unfinished jobs by controllers that get no answer from the leader: never
+ * that a running job is queued, and nothing less than before of jobs that wait.
+ */
+import { afterEach, describe, expect, it } from 'vitest';
+import { MAX_STATE_LAG_MS } from '../src/core/lifecycle/job-view.js';
+import type { JobId, NodeId, Revision } from '../src/core/model/ids.js';
+import type { Change, KeyValueStore, WatchResult } from '../src/ports/key-value-store.js';
+import { PlacedJobs } from '../src/service/job-progress/placed-jobs.js';
+import { ProgressReader } from '../src/service/job-progress/progress-reader.js';
+import { encodeProgressReport, encodeSegment } from '../src/service/stored-records.js';
+import {
+  type ClusterNode,
+  type ClusterOptions,
+  cleanUp,
+  getJob,
+  jobBody,
+  log,
+  startCluster,
+  until,
+} from './stand-ins/cluster.js';
+import { requestJson } from './stand-ins/http.js';
+import { ledgerEntry, recordedAttributes } from './support/builders.js';
+
+afterEach(cleanUp);
+
+const RUNNING = 'job-1';
+const WAITING = 'job-2';
+
+/** A cluster whose only machine runs three endless tasks, while another job waits for all of it. */
+const startBusyCluster = async (options: ClusterOptions = {}) => {
+  const cluster = await startCluster(3, { capacity: 1, ...options });
+  cluster.cloud.runMsOf = (task) => (task.startsWith(`${RUNNING}/`) ? null : 50);
+  const [node] = cluster.nodes;
+  const submit = async (id: string, overrides: object) =>
+    expect((await requestJson(node!.address, '/api/jobs', jobBody(id, overrides)))?.status).toBe(
+      201,
+    );
+  await submit(RUNNING, { Pieces: 3 });
+  await allSay(cluster.nodes, RUNNING, 'running');
+  await submit(WAITING, { Pieces: 1, Cpus: 8 });
+  await allSay(cluster.nodes, WAITING, 'queued');
+  return cluster;
+};
+
+const allSay = (nodes: readonly ClusterNode[], id: string, status: string) =>
+  until(async () => {
+    const answers = await Promise.all(nodes.map((node) => getJob(node.address, id)));
+    return answers.every((answer) => answer?.body.Status === status);
+  });
+
+/** Asks all nodes about both jobs until a time has passed; counts answers by job and status. */
+const countAnswers = async (nodes: readonly ClusterNode[], ms: number) => {
+  const counts: Record<string, number> = {};
+  for (const end = Date.now() + ms; Date.now() < end; ) {
+    for (const node of nodes)
+      for (const id of [RUNNING, WAITING]) {
+        const answer = await getJob(node.address, id);
+        const name = `${id} ${answer?.body.Status ?? answer?.status}`;
+        counts[name] = (counts[name] ?? 0) + 1;
+      }
+    await new Promise((resolve) => setTimeout(resolve, 100));
+  }
+  return counts;
+};
+
+/** Until then, an answer may still be from before the tasks' start. */
+const passPermittedLag = () => new Promise((resolve) => setTimeout(resolve, MAX_STATE_LAG_MS));
+
+const leaderOf = (nodes: readonly ClusterNode[]): ClusterNode =>
+  nodes.find((node) => node.controller.authority() === 'lead')!;
+
+describe('controllers that refuse each other’s connections', () => {
+  // Guards against: followers that call running jobs queued while the leader does not answer.
+  it('say of every job whether it runs, and go on saying so beyond the permitted lag', async () => {
+    const { nodes } = await startBusyCluster();
+    await passPermittedLag();
+    for (const node of nodes) node.refusePeers();
+    const counts = await countAnswers(nodes, 5000);
+    expect(Object.keys(counts).sort()).toEqual([`${RUNNING} running`, `${WAITING} queued`]);
+    expect(counts[`${RUNNING} running`]).toBeGreaterThan(30);
+  });
+
+  it('accept jobs, and tell of their ends', async () => {
+    const { nodes, cloud } = await startCluster(3, { capacity: 1 });
+    for (const node of nodes) node.refusePeers();
+    for (const [i, node] of nodes.entries()) {
+      const id = `job-1${i}`;
+      const answer = await requestJson(node.address, '/api/jobs', jobBody(id));
+      expect(answer?.status).toBe(201);
+      await allSay(nodes, id, 'done');
+    }
+    expect(cloud.starts).toHaveLength(3 * nodes.length);
+  });
+});
+
+describe('controllers whose leader has ended', () => {
+  // Guards against: running jobs called queued from the leader's end until its successor knows.
+  it('say of no running job that it is queued, and always tell of waiting jobs', async () => {
+    const { nodes } = await startBusyCluster({ leaderLeaseMs: 2000 });
+    const leader = leaderOf(nodes);
+    const others = nodes.filter((node) => node !== leader);
+    await passPermittedLag();
+    leader.stop();
+    const counts = await countAnswers(others, 1000);
+    expect(others.some((node) => node.controller.authority() === 'lead')).toBe(false);
+    expect(counts).toEqual({
+      [`${WAITING} queued`]: expect.any(Number),
+      [`${RUNNING} 503`]: expect.any(Number),
+    });
+    await until(() => others.some((node) => node.controller.authority() === 'lead'));
+    const later = await countAnswers(others, 1500);
+    expect(later[`${RUNNING} queued`]).toBeUndefined();
+    expect(later[`${WAITING} 503`]).toBeUndefined();
+    await allSay(others, RUNNING, 'running');
+  });
+});
+
+describe('a repeated submission', () => {
+  // Guards against: followers that answer it with "queued" at any time, whatever the job does.
+  it('gets the job’s current state from every controller', async () => {
+    const { nodes } = await startBusyCluster();
+    const statuses = async (id: string) =>
+      Promise.all(
+        nodes.map(async (node) => {
+          const answer = await requestJson(node.address, '/api/jobs', jobBody(id));
+          const body = answer?.body as { Status?: string } | undefined;
+          return `${answer?.status} ${body?.Status}`;
+        }),
+      );
+    await until(async () => {
+      const answers = new Set(await statuses(RUNNING));
+      return answers.size === 1 && answers.has('200 running');
+    });
+    await passPermittedLag();
+    expect(new Set(await statuses(RUNNING))).toEqual(new Set(['200 running']));
+    expect(new Set(await statuses(WAITING))).toEqual(new Set(['200 queued']));
+  });
+});
+
+const REVISION = 5 as Revision;
+
+/** A store whose watches report these changes once, and then nothing. */
+const storeWith = (changes: () => Change[], items: () => readonly object[] = () => []) => {
+  const writes: { readonly put: string; readonly value: unknown }[] = [];
+  const store: Partial<KeyValueStore> = {
+    compareAndSwap: async (_preconditions, mutations) => {
+      writes.push(...(mutations as typeof writes));
+      return { kind: 'committed', revision: REVISION };
+    },
+    watch: async (_prefix, _since, ms): Promise<WatchResult> => {
+      await new Promise((resolve) => setTimeout(resolve, Math.min(ms, 20)));
+      return { kind: 'changes', revision: REVISION, changes: changes() };
+    },
+    listAll: async (prefix) => ({
+      kind: 'listed',
+      items: prefix === 'l/' ? (items() as never) : [],
+      revision: REVISION,
+    }),
+  };
+  return { store: store as KeyValueStore, writes };
+};
+
+describe('a reader of progress reports', () => {
+  const node = 'node-1' as NodeId;
+  const limits = { maxPartBytes: 250, maxParts: 2 };
+  const jobs = (count: number) =>
+    Array.from({ length: count }, (_, i) => ({
+      id: `job-${i}` as JobId,
+      status: i === 1 ? null : ('running' as const),
+      done: 1,
+      running: 2,
+    }));
+  const readerOf = (life: string, n: number, count: number, omitPart = false) => {
+    const request = { life, n };
+    const parts = encodeProgressReport(
+      { requests: new Map([[node, request]]), jobs: jobs(count) },
+      limits,
+    );
+    const changes = parts.map((value, part) => ({ key: `p/${part}`, value, revision: REVISION }));
+    const { store, writes } = storeWith(() => (omitPart ? changes.slice(1) : changes));
+    const reader = new ProgressReader(
+      { batchStore: store, log, settings: { node } as never },
+      'life-2',
+    );
+    return { reader, writes, partCount: parts.length };
+  };
+  const statusOf = async (reader: ProgressReader, id: string) =>
+    (await reader.progressOf(id as JobId))?.status ?? null;
+
+  it('takes a report in parts that answers its request', async () => {
+    const { reader, writes, partCount } = readerOf('life-2', 1, 12);
+    expect(partCount).toBe(2);
+    expect(await statusOf(reader, 'job-0')).toBe('running');
+    expect(await statusOf(reader, 'job-11')).toBe('running');
+    expect(await statusOf(reader, 'job-1')).toBeNull();
+    expect(await statusOf(reader, 'job-99')).toBe('queued');
+    expect(writes).toEqual([{ put: 'q/node-1', value: { life: 'life-2', n: 1 } }]);
+  });
+
+  it('does not say that a job is queued by a report without room for all jobs', async () => {
+    const { reader } = readerOf('life-2', 1, 80);
+    expect(await statusOf(reader, 'job-0')).toBe('running');
+    expect(await statusOf(reader, 'job-79')).toBeNull();
+  });
+
+  it.each([
+    ['an answer to an earlier process of its node', 'life-1', 1, false],
+    ['an answer to another request', 'life-2', 7, false],
+    ['a report of which a part is missing', 'life-2', 1, true],
+  ])('ignores %s', async (_name, life, n, omitPart) => {
+    const { reader } = readerOf(life, n, 12, omitPart);
+    expect(await statusOf(reader, 'job-0')).toBeNull();
+  });
+});
+
+describe('the jobs that the ledger names', () => {
+  const segmentOf = (id: string) =>
+    encodeSegment({
+      machines: [
+        {
+          machine: 'n-1' as never,
+          attributes: recordedAttributes,
+          entries: [ledgerEntry(0, 1, id)],
+        },
+      ],
+      progress: [],
+    });
+
+  it('include what changed while the ledger was read, and what a readable record names', async () => {
+    const changed = { key: 'l/7/2', value: segmentOf('job-2'), revision: REVISION };
+    const { store } = storeWith(
+      () => [changed],
+      () => [{ key: 'l/7/1', value: segmentOf('job-1'), revision: REVISION }],
+    );
+    const placed = new PlacedJobs({ batchStore: store });
+    expect(await placed.includes('job-1' as JobId)).toBe(true);
+    expect(await placed.includes('job-2' as JobId)).toBe(true);
+    expect(await placed.includes('job-3' as JobId)).toBe(false);
+  });
+
+  it('are not known while a record is unreadable, or the store does not answer', async () => {
+    const odd = storeWith(
+      () => [],
+      () => [{ key: 'l/7/1', value: { odd: true }, revision: REVISION }],
+    );
+    expect(await new PlacedJobs({ batchStore: odd.store }).includes('job-1' as JobId)).toBeNull();
+    const silent = { ...odd.store, watch: async () => ({ kind: 'refused' as const }) };
+    expect(await new PlacedJobs({ batchStore: silent }).includes('job-1' as JobId)).toBeNull();
+  });
+});
--- a/test/pinned-http.test.ts
+++ b/test/pinned-http.test.ts
@@ -79,9 +79,14 @@
   n: number;
   ask: string;
   job?: string;
+  record?: unknown;
   call?: { subject: string; route: string };
 };
 
+/** Whether a question tells the leader that the job's record is stored; 90313a6 sent none. */
+const tellsOfRecord = ({ ask, record }: PeerRequest): boolean =>
+  ask === 'status' && record !== undefined;
+
 /** A leader that answers in the pinned forms and records each frame it receives, with `n` = 1. */
 const startLeaderStandIn = async () => {
   const frames: string[] = [];
@@ -246,7 +251,14 @@
         .map(({ n: _, ...question }) => question)
         .filter(({ ask }) => ask !== 'status'),
     );
-    pins.check('frames', [...new Set(leader.frames)]);
+    const framesWhere = (isWanted: (question: PeerRequest) => boolean) => [
+      ...new Set(leader.frames.filter((_, i) => isWanted(leader.received[i]!))),
+    ];
+    pins.check(
+      'frames',
+      framesWhere((question) => !tellsOfRecord(question)),
+    );
+    pins.check('frames that tell of a record', framesWhere(tellsOfRecord));
     for (const question of leader.received)
       expect(v.parse(pinnedSchemas.question, question)).toEqual(question);
     // The leader answers these with null.
@@ -283,7 +295,9 @@
     await check('known submission', 'POST', '/api/jobs', jobBody('job-21'));
     leader.control.silent.add('admit');
     await check('refused submission', 'POST', '/api/jobs', jobBody('job-22'));
-    for (const id of ['job-30', 'job-31', 'job-32']) await check(id, 'GET', `/api/jobs/${id}`);
+    // job-30 is in the form of 90313a6, which did not know whether the job runs.
+    for (const id of ['job-30', 'job-31', 'job-32', 'job-33'])
+      await check(id, 'GET', `/api/jobs/${id}`);
     await check('explain', 'GET', '/api/jobs/job-30/explain');
     await check('abort', 'POST', '/api/jobs/job-30/abort');
     const lookRequests = leader.received
@@ -350,7 +364,6 @@
       spec: { ...record.spec, id: 'job-1', cpus: 1, gpus: 0, types: null },
     };
     await checkAnswer('admit', { ask: 'admit', record: plainRecord }, pinnedSchemas.admitted);
-    await checkAnswer('admit again', { ask: 'admit', record: plainRecord }, pinnedSchemas.admitted);
     await checkAnswer('admit of no record', { ask: 'admit', record: { odd: true } });
     await checkAnswer(
       'admit of a service',
@@ -361,6 +374,7 @@
       const view = (await ask({ ask: 'status', job: 'job-1' })) as { waiting?: string } | null;
       return view?.waiting?.startsWith('no machine');
     });
+    await checkAnswer('admit again', { ask: 'admit', record: plainRecord }, pinnedSchemas.admitted);
     await checkAnswer('status', { ask: 'status', job: 'job-1' }, pinnedSchemas.view);
     await checkAnswer('status of a service', { ask: 'status', job: 'job-413' }, pinnedSchemas.view);
     await checkAnswer('status of no job', { ask: 'status', job: 'job-900' });
--- a/test/stand-ins/cluster.ts
+++ b/test/stand-ins/cluster.ts
@@ -1,5 +1,5 @@
 /** Controllers in this process, with stand-ins for cloud and key-value store on loopback. */
-import { createServer, type Server } from 'node:net';
+import { createServer, type Server, type Socket } from 'node:net';
 import pino from 'pino';
 import { DEFAULT_POLICY } from '../../src/adapters/configuration/policy.js';
 import { parseSettings } from '../../src/adapters/configuration/settings.js';
@@ -59,10 +59,12 @@
   }
 };
 
-/** A controller, the address of its API, and a function that stops it. */
+/** A controller, the address of its API, and functions that act on it. */
 export interface ClusterNode {
   address: string;
   controller: Controller;
+  /** Closes the connections from its peers, and refuses new ones. */
+  refusePeers: () => void;
   stop: () => void;
 }
 
@@ -109,6 +111,12 @@
     (request) => controller.handlePeerRequest(request),
     () => {},
   );
+  const peerSockets = new Set<Socket>();
+  peers.on('connection', (socket) => peerSockets.add(socket));
+  const refusePeers = () => {
+    peers.close();
+    for (const socket of peerSockets) socket.destroy();
+  };
   controller.start();
   const stop = () => {
     controller.stop();
@@ -117,7 +125,7 @@
     peers.close();
   };
   cleanups.push(stop);
-  return { address: api_addr, controller, stop };
+  return { address: api_addr, controller, refusePeers, stop };
 };
 
 /** Starts stand-ins and controllers; waits until all are ready and one leads. */
