A team's list is given only by a leader that has read and knows all its jobs

What callers saw: a new leader answered `GET /api/jobs?team=` with 200 and without the jobs that it had not read yet; and since it has no view of a job whose tasks it cannot vouch for, it would have left that one out.

Cause: `listLocally` asked only for a valid lease, and skipped jobs without a view.

Change: no list before the state is recovered, nor while one of the team's jobs has no view: 503 as without a leader. Jobs whose end is decided are left out as before.

--- a/src/service/jobs/job-query-service.ts
+++ b/src/service/jobs/job-query-service.ts
@@ -146,16 +146,20 @@
     return { kind: 'explained', explanation: { id, waiting, state: 'away' } };
   }
 
-  /** Lists a team's unfinished jobs if this node leads, else returns null. */
+  /** Lists a team's unfinished jobs if this node leads and knows them all, else returns null. */
   listLocally(team: TeamName): JobView[] | null {
     const term = this.authoritativeTerm();
     if (!term) return null;
     const { core } = term.commandLoop;
+    if (!core.isRecovered) return null;
+    const now = steadyNow();
     const views: JobView[] = [];
-    for (const job of core.jobs.values()) {
-      if (job.spec.team !== team || views.length >= MAX_LISTED_JOBS) continue;
-      const view = viewJob(core, job.spec.id, steadyNow());
-      if (view) views.push(view);
+    for (const { spec, terminalState } of core.jobs.values()) {
+      if (spec.team !== team || terminalState !== 'none') continue;
+      if (views.length >= MAX_LISTED_JOBS) break;
+      const view = viewJob(core, spec.id, now);
+      if (!view) return null;
+      views.push(view);
     }
     return views;
   }
--- a/test/job-views.test.ts
+++ b/test/job-views.test.ts
@@ -5,9 +5,15 @@
 import { listJobProgress, viewJob, viewRecordedJob } from '../src/core/lifecycle/job-view.js';
 import type { Command } from '../src/core/model/command.js';
 import type { TaskStatus } from '../src/core/model/heartbeat.js';
-import type { FencingToken, JobId, MachineId, ReplyTicket } from '../src/core/model/ids.js';
+import type {
+  FencingToken,
+  JobId,
+  MachineId,
+  ReplyTicket,
+  TeamName,
+} from '../src/core/model/ids.js';
 import type { Instant } from '../src/core/model/time.js';
-
+import { JobQueryService } from '../src/service/jobs/job-query-service.js';
 import {
   core,
   heartbeatOf,
@@ -51,6 +57,16 @@
   return { state, run, recover, report, statuses };
 };
 
+/** The queries of a node that leads with this state. */
+const queriesOf = (state: ReturnType<typeof core>): JobQueryService =>
+  new JobQueryService(
+    {} as never,
+    { view: () => null } as never,
+    {} as never,
+    () => ({ authority: () => 'lead', commandLoop: { core: state } }) as never,
+    {} as never,
+  );
+
 describe('a new leader', () => {
   // Guards against: running jobs called queued until their workers have reported to a new leader.
   it('does not say whether a job runs before its machine has reported, and says it of others', () => {
@@ -88,6 +104,17 @@
     expect(statuses(end)[1]).toBe('queued');
   });
 
+  // Guards against: lists that omit jobs which the new leader has not read yet, or does not know.
+  it('lists a team only once it has read its jobs, and knows whether each of them runs', () => {
+    const { state, recover, report } = recoverLeader();
+    const list = () => queriesOf(state).listLocally('blue' as TeamName);
+    expect(list()).toBeNull();
+    recover();
+    expect(list()).toBeNull();
+    report(200, 1, 7, [taskStatus(first, 0, 7_000_001)]);
+    expect(list()?.map(({ status }) => status)).toEqual(['running', 'queued']);
+  });
+
   it('knows of a job that it does not list whether a task of it was ever placed', () => {
     const { state, recover } = recoverLeader();
     expect(viewRecordedJob(state, 'job-3' as JobId, 0 as Instant)).toBeNull();
