Explain a job only if its existence and its wait are known

What callers saw: while the state service was down, `GET /api/jobs/ID/explain` answered 200 with a reason for waiting for any id, also of jobs that nobody submitted or that were done; and the leader explained a job whose end was decided.

Cause: `explain` answered from the outage alone, without knowing of the job; `explainJob` looked at the job but not at its end.

Change: without the leader's explanation the answer is that of a question about the job: its state, 404, or 503 while nothing confirms it. The leader explains unfinished jobs only.

--- a/src/core/lifecycle/job-view.ts
+++ b/src/core/lifecycle/job-view.ts
@@ -238,10 +238,10 @@
 const secondsToShadowTime = ({ shadowTime }: CoreState, now: Instant): number | null =>
   shadowTime === null ? null : Math.max(0, (shadowTime - now) / 1000);
 
-/** Explains the job's place in the queue; null if this leader does not list the job. */
+/** Explains the job's place in the queue; null if this leader does not list it as unfinished. */
 export const explainJob = (state: CoreState, id: JobId, now: Instant): JobExplanation | null => {
   const job = state.jobs.get(id);
-  if (!job) return null;
+  if (job?.terminalState !== 'none') return null;
   const ranked = rankWaitingJobs(state, now);
   const position = ranked.findIndex((candidate) => candidate.job === job);
   return {
--- a/src/service/jobs/job-query-service.ts
+++ b/src/service/jobs/job-query-service.ts
@@ -140,10 +140,7 @@
     if (local) return { kind: 'explained', explanation: local };
     const leader = this.peerMonitor.leaderPeer();
     const explanation = leader && (await requestExplanation(leader, id));
-    if (explanation) return { kind: 'explained', explanation };
-    if (!this.dependencies.store.isDown) return { kind: 'unexplained' };
-    const waiting = 'the state service is away: nothing starts until it is back';
-    return { kind: 'explained', explanation: { id, waiting, state: 'away' } };
+    return explanation ? { kind: 'explained', explanation } : { kind: 'unexplained' };
   }
 
   /** Lists a team's unfinished jobs if this node leads and knows them all, else returns null. */
--- a/test/job-status.test.ts
+++ b/test/job-status.test.ts
@@ -138,6 +138,21 @@
   });
 });
 
+describe('an explanation', () => {
+  // Guards against: explanations of jobs that nobody submitted, while the store is down.
+  it('is not given of a job that no controller knows', async () => {
+    const { nodes, state } = await startCluster(1);
+    state.isDown = true;
+    const explanation = () =>
+      requestJson(nodes[0]!.address, '/api/jobs/job-99/explain', undefined, 'GET');
+    // The node learns of the outage from its own requests.
+    for (const end = Date.now() + 1500; Date.now() < end; ) {
+      expect((await explanation())?.status).toBe(503);
+      await new Promise((resolve) => setTimeout(resolve, 50));
+    }
+  });
+});
+
 const REVISION = 5 as Revision;
 
 /** A store whose watches report these changes once, and then nothing. */
--- a/test/job-views.test.ts
+++ b/test/job-views.test.ts
@@ -2,7 +2,12 @@
 import { describe, expect, it } from 'vitest';
 import { applyCommands } from '../src/core/apply-commands.js';
 import { segmentKey } from '../src/core/ledger/segments.js';
-import { listJobProgress, viewJob, viewRecordedJob } from '../src/core/lifecycle/job-view.js';
+import {
+  explainJob,
+  listJobProgress,
+  viewJob,
+  viewRecordedJob,
+} from '../src/core/lifecycle/job-view.js';
 import type { Command } from '../src/core/model/command.js';
 import type { TaskStatus } from '../src/core/model/heartbeat.js';
 import type {
@@ -156,5 +161,7 @@
     const now = driver.now as Instant;
     expect(viewJob(driver.state, first, now)).toBeNull();
     expect(viewRecordedJob(driver.state, first, now)).toMatchObject({ status: 'running' });
+    // Guards against: explanations of jobs that have ended.
+    expect(explainJob(driver.state, first, now)).toBeNull();
   });
 });
