Without a leader's answer, ask the workers whether they run a job's tasks

What callers saw with the commit before: from a leader's end, or from the end of its lease while the store refused it alone, until its successor had heard the workers, 503 for every job that the ledger names. 503 is for what no node can know, but the workers know, and any node may ask them.

Change: every node keeps the last heartbeat that each machine sent it (as the leader, or before it redirected it) as a hint whom to ask: `WorkerInspector` sends `GET /inspect` to at most two workers that listed a task of the job as running, and keeps the answer for a second. A heartbeat alone is no proof, since it may be late. A node that knows nothing asks its peers about theirs (`status` with `record`), also a former leader to which the workers still report.

--- a/src/adapters/workers/worker-client.ts
+++ b/src/adapters/workers/worker-client.ts
@@ -1,4 +1,4 @@
-/** Sends commands directly to workers: kills, which must not wait for the next heartbeat. */
+/** Requests to workers: kills, which must not wait for the next heartbeat, and inspections. */
 import { Agent } from 'node:http';
 import type { Heartbeat } from '../../core/model/heartbeat.js';
 import type { FencingToken } from '../../core/model/ids.js';
@@ -9,6 +9,8 @@
 import { parseHeartbeat } from './heartbeat-parser.js';
 
 const REQUEST_TIMEOUT_MS = 3000;
+/** Short, as a user waits for the answer. */
+const INSPECTION_TIMEOUT_MS = 400;
 const ENDPOINT = /^[\w.-]+:\d{1,5}$/;
 
 /** A client of all workers, over at most `maxSockets` concurrent connections. */
@@ -43,4 +45,15 @@
     if (result.status !== 200 && result.status !== 409) return null;
     return parseHeartbeat(result.body);
   }
+
+  /** Requests the worker's present status, as a heartbeat; null without a valid answer. */
+  async inspect(endpoint: string): Promise<Heartbeat | null> {
+    if (!ENDPOINT.test(endpoint)) return null;
+    const result = await exchange(this.agent, parseEndpoint(endpoint), {
+      method: 'GET',
+      path: '/inspect',
+      timeoutMs: INSPECTION_TIMEOUT_MS,
+    });
+    return result.kind === 'answer' && result.status === 200 ? parseHeartbeat(result.body) : null;
+  }
 }
--- a/src/core/lifecycle/job-view.ts
+++ b/src/core/lifecycle/job-view.ts
@@ -192,20 +192,34 @@
 };
 
 /**
- * The job as users see it, for a caller that has just read its record in the key-value store: no
- * end of it was stored then. `never-placed`: no task of it can run. Returns null if this leader
- * does not know whether one runs.
+ * What this leader knows of a job whose record a caller has just read in the key-value store: no
+ * end of it was stored then. `never-placed`: no task of it can run. `unknown`: a task may run.
+ * Returns null before the stored state is recovered.
  */
 export const viewRecordedJob = (
   state: CoreState,
   id: JobId,
   now: Instant,
-): CoreJobView | 'never-placed' | null => {
+): CoreJobView | 'never-placed' | 'unknown' | null => {
   if (!state.isRecovered) return null;
   const job = state.jobs.get(id);
-  if (job) return viewListedJob(state, job, now);
+  if (job) return viewListedJob(state, job, now) ?? 'unknown';
   const isPlaceable = state.unreadableSegments.size > 0 || state.recentlyEndedJobs.has(id);
-  return isPlaceable ? null : 'never-placed';
+  return isPlaceable ? 'unknown' : 'never-placed';
+};
+
+/**
+ * The job as users see it, if a machine that is heard reports that a task of it runs; else null. A
+ * former leader may say so too, as long as workers report to it.
+ */
+export const viewReportedJob = (state: CoreState, id: JobId, now: Instant): CoreJobView | null => {
+  const job = state.jobs.get(id);
+  if (!job) return null;
+  for (const placements of job.attemptsByTask.values())
+    for (const placement of placements)
+      if (isRunning(placement) && !isSilent(state, placement.machine, now))
+        return viewListedJob(state, job, now);
+  return null;
 };
 
 /** How far an unfinished job has come: for a leader that reports on all of its jobs. */
--- a/src/ports/peer.ts
+++ b/src/ports/peer.ts
@@ -10,8 +10,9 @@
   /** To the leader: explains why a job waits, or cancels it. */
   | { readonly ask: 'explain' | 'abort'; readonly job?: JobId | undefined }
   /**
-   * To the leader: returns a job's state. `record` is the job's stored record if the sender has
-   * just read it: no end of the job was stored then.
+   * Returns a job's state if the peer leads, or if it knows of a worker that runs one of its tasks.
+   * `record` is the job's stored record if the sender has just read it: no end of the job was
+   * stored then.
    */
   | { readonly ask: 'status'; readonly job?: JobId | undefined; readonly record?: unknown }
   /** Looks up a job in the key-value store for a node that cannot reach it. */
--- a/src/service/controller.ts
+++ b/src/service/controller.ts
@@ -141,6 +141,7 @@
   }
 
   async handleHeartbeat(heartbeat: Heartbeat): Promise<HeartbeatDecision> {
+    this.users.workerInspector.recordHint(heartbeat);
     if (this.leaderTerm) return this.leaderTerm.handleHeartbeat(heartbeat);
     this.peerMonitor.recordRedirect(heartbeat.machine);
     const leader = this.election.leaderNode;
--- a/src/service/job-progress/placed-jobs.ts
+++ b/src/service/job-progress/placed-jobs.ts
@@ -87,9 +87,10 @@
       batchStore.listAll(LEGACY_LEDGER_PREFIX),
     ]);
     if (ledger.kind !== 'listed' || legacy.kind !== 'listed') return null;
+    // Legacy records are not decoded: they may name any job, until the leader deletes them.
+    if (legacy.items.length > 0) return null;
     const segments: JobsBySegment = new Map();
     for (const { key, value } of ledger.items) segments.set(key, listPlacedJobs(value));
-    for (const { key } of legacy.items) segments.set(key, null);
     return this.readChanges(createCopy(segments, ledger.revision, steadyNow()));
   }
 
--- a/src/service/job-progress/progress-reader.ts
+++ b/src/service/job-progress/progress-reader.ts
@@ -43,6 +43,8 @@
   private report: ReceivedReport | null = null;
   private pendingRequest: Promise<void> | null = null;
   private requestNotBefore = 0;
+  /** Whether the last request got no answer: questions do not wait for the next one. */
+  private hasFailed = false;
   private lastRequest = 0;
 
   constructor(
@@ -58,7 +60,7 @@
   async progressOf(id: JobId): Promise<JobProgress | null> {
     if (this.reportAge() > RENEWAL_AGE_MS && steadyNow() >= this.requestNotBefore)
       this.pendingRequest ??= this.renew();
-    if (this.reportAge() > MAX_REPORT_AGE_MS && this.pendingRequest)
+    if (this.reportAge() > MAX_REPORT_AGE_MS && this.pendingRequest && !this.hasFailed)
       await Promise.race([this.pendingRequest, sleep(QUESTION_TIMEOUT_MS)]);
     const { report } = this;
     if (!report || this.reportAge() > MAX_REPORT_AGE_MS) return null;
@@ -76,6 +78,7 @@
     const askedAt = steadyNow();
     this.lastRequest += 1;
     const report = await this.request({ life: this.life, n: this.lastRequest }, askedAt);
+    this.hasFailed = report === null;
     if (report) this.report = report;
     else this.requestNotBefore = steadyNow() + RETRY_MS;
     this.dependencies.log.debug({ answered: report !== null }, 'progress report requested');
--- a/src/service/jobs/job-query-service.ts
+++ b/src/service/jobs/job-query-service.ts
@@ -66,10 +66,10 @@
   }
 
   /**
-   * This leader's view of a job whose record was just read in the store; null if this node does not
-   * lead with a valid lease, or does not know.
+   * What this leader knows of a job whose record was just read in the store; null if this node does
+   * not lead with a valid lease, or has not recovered the stored state.
    */
-  viewRecordedLocally(id: JobId): JobView | 'never-placed' | null {
+  viewRecordedLocally(id: JobId): JobView | 'never-placed' | 'unknown' | null {
     const term = this.authoritativeTerm();
     return term && viewRecordedJob(term.commandLoop.core, id, steadyNow());
   }
--- a/src/service/jobs/job-service.ts
+++ b/src/service/jobs/job-service.ts
@@ -11,6 +11,7 @@
 import type { Dependencies } from '../dependencies.js';
 import { PlacedJobs } from '../job-progress/placed-jobs.js';
 import { ProgressReader } from '../job-progress/progress-reader.js';
+import { WorkerInspector } from '../job-progress/worker-inspector.js';
 import type { LeaderTerm } from '../leader-term.js';
 import type { PeerMonitor } from '../peers/peer-monitor.js';
 import { CancellationService } from './cancellation-service.js';
@@ -22,6 +23,8 @@
 /** Implements the user port with three services; peers' requests call these directly. */
 export class JobService implements UserApi {
   readonly completions = new CompletionCache();
+  readonly workerInspector: WorkerInspector;
+  readonly unfinishedJobs: UnfinishedJobResolver;
   readonly queries: JobQueryService;
   readonly submissions: SubmissionService;
   readonly cancellations: CancellationService;
@@ -34,18 +37,21 @@
     incarnation: string,
   ) {
     const { completions } = this;
-    const unfinishedJobs = new UnfinishedJobResolver(
+    this.workerInspector = new WorkerInspector(dependencies);
+    this.unfinishedJobs = new UnfinishedJobResolver(
       dependencies,
       peerMonitor,
+      currentTerm,
       new ProgressReader(dependencies, incarnation),
       new PlacedJobs(dependencies),
+      this.workerInspector,
     );
     this.queries = new JobQueryService(
       dependencies,
       completions,
       peerMonitor,
       currentTerm,
-      unfinishedJobs,
+      this.unfinishedJobs,
     );
     this.submissions = new SubmissionService(dependencies, this.queries, peerMonitor, currentTerm);
     this.cancellations = new CancellationService(
--- a/src/service/jobs/unfinished-job-resolver.ts
+++ b/src/service/jobs/unfinished-job-resolver.ts
@@ -3,17 +3,26 @@
  * accepted and has not ended. Each source is asked in turn, from the cheapest and most exact; if
  * none knows, there is no view.
  */
-import { type JobProgress, MAX_STATE_LAG_MS } from '../../core/lifecycle/job-view.js';
+import { sleep, steadyNow } from '../../adapters/runtime/clock.js';
+import {
+  type JobProgress,
+  MAX_STATE_LAG_MS,
+  viewReportedJob,
+} from '../../core/lifecycle/job-view.js';
 import type { JobId, TeamName } from '../../core/model/ids.js';
 import type { JobView } from '../../ports/user-api.js';
 import type { Dependencies } from '../dependencies.js';
 import type { PlacedJobs } from '../job-progress/placed-jobs.js';
 import type { ProgressReader } from '../job-progress/progress-reader.js';
+import type { WorkerInspector } from '../job-progress/worker-inspector.js';
+import type { LeaderTerm } from '../leader-term.js';
 import type { PeerMonitor } from '../peers/peer-monitor.js';
 import { requestRecordedJobView } from '../peers/peer-requests.js';
 import { decodeJob, type JobRecord } from '../stored-records.js';
 import { NO_LEADER_TEXT, viewOfAcceptedJob } from './job-views.js';
 
+/** Users wait 2 s, of which the leader and the store were given a part before. */
+const RESOLUTION_TIMEOUT_MS = 1000;
 /** Part of the permitted lag that is left for answering the question. */
 const ANSWER_MARGIN_MS = 500;
 
@@ -22,14 +31,22 @@
   readonly id: JobId;
   /** The stored record, read after the question came. */
   readonly record: unknown;
-  /** This node's own view as the leader; null if it does not lead or does not know. */
-  readonly ownView: JobView | 'never-placed' | null;
+  /** What this node knows as the leader; null if it does not lead. */
+  readonly ownView: JobView | 'never-placed' | 'unknown' | null;
   /** Whether the leader has just left a request unanswered. */
   readonly isLeaderSilent: boolean;
 }
 
 /** Where a view comes from, for the log. */
-type Source = 'own-state' | 'leader' | 'progress-report' | 'ledger' | 'acceptance' | 'none';
+type Source =
+  | 'own-state'
+  | 'leader'
+  | 'progress-report'
+  | 'ledger'
+  | 'worker'
+  | 'peer'
+  | 'acceptance'
+  | 'none';
 
 interface Resolution {
   readonly source: Source;
@@ -57,15 +74,20 @@
 /** Resolves unfinished jobs on any controller. */
 export class UnfinishedJobResolver {
   constructor(
-    private readonly dependencies: Pick<Dependencies, 'log' | 'settings'>,
+    private readonly dependencies: Pick<Dependencies, 'log' | 'peers' | 'settings'>,
     private readonly peerMonitor: PeerMonitor,
+    private readonly currentTerm: () => LeaderTerm | null,
     private readonly progressReader: ProgressReader,
     private readonly placedJobs: PlacedJobs,
+    private readonly workerInspector: WorkerInspector,
   ) {}
 
   /** The job's view, at most the permitted lag old; null if no source tells. */
   async resolve(job: UnfinishedJob): Promise<JobView | null> {
-    const { source, view } = await this.findSource(job, decodeJob(job.record));
+    const { source, view } = await Promise.race([
+      this.findSource(job, decodeJob(job.record)),
+      sleep(RESOLUTION_TIMEOUT_MS).then(() => UNRESOLVED),
+    ]);
     this.dependencies.log.debug(
       { jobId: job.id, source, status: view?.status },
       'unfinished job looked up in the store',
@@ -74,17 +96,23 @@
   }
 
   private async findSource(job: UnfinishedJob, record: JobRecord | null): Promise<Resolution> {
-    const { id, ownView } = job;
-    if (ownView === 'never-placed' && record)
-      return { source: 'own-state', view: viewOfAcceptedJob(record.spec) };
-    if (ownView !== null && ownView !== 'never-placed')
-      return { source: 'own-state', view: ownView };
+    const { ownView } = job;
+    if (ownView === 'unknown') return this.askWorkers(job, record);
+    // The leader skips a job whose record is unreadable, but may have recovered attempts of it.
+    if (ownView === 'never-placed')
+      return record
+        ? { source: 'own-state', view: viewOfAcceptedJob(record.spec) }
+        : this.readLedger(job, record);
+    if (ownView) return { source: 'own-state', view: ownView };
     const reported = await this.askLeader(job, record);
-    if (reported.view) return reported;
-    const idleView = { ...viewOfIdleJob(id, record), waiting: NO_LEADER_TEXT };
-    switch (await this.placedJobs.includes(id)) {
+    return reported.view ? reported : this.readLedger(job, record);
+  }
+
+  private async readLedger(job: UnfinishedJob, record: JobRecord | null): Promise<Resolution> {
+    const idleView = { ...viewOfIdleJob(job.id, record), waiting: NO_LEADER_TEXT };
+    switch (await this.placedJobs.includes(job.id)) {
       case true:
-        return UNRESOLVED;
+        return this.askWorkers(job, record);
       case false:
         return { source: 'ledger', view: idleView };
       case null:
@@ -119,6 +147,34 @@
     }
   }
 
+  /** Asks the workers that this node has heard, then the peers about those that they have. */
+  private async askWorkers(
+    { id, record: stored }: UnfinishedJob,
+    record: JobRecord | null,
+  ): Promise<Resolution> {
+    const view = await this.viewByWorkers(id, record);
+    if (view) return { source: 'worker', view };
+    const peers = [...this.dependencies.peers.values()];
+    const answers = await Promise.all(
+      peers.map((peer) => requestRecordedJobView(peer, id, stored)),
+    );
+    const answer = answers.find(({ kind }) => kind === 'viewed');
+    return answer?.kind === 'viewed' ? { source: 'peer', view: answer.job } : UNRESOLVED;
+  }
+
+  /**
+   * The view of a job of which a worker says that a task runs, by its heartbeats to this node or
+   * when it is asked; null if none says so, which does not prove that none runs.
+   */
+  async viewByWorkers(id: JobId, record: JobRecord | null): Promise<JobView | null> {
+    const core = this.currentTerm()?.commandLoop.core;
+    const reported = core && viewReportedJob(core, id, steadyNow());
+    if (reported) return reported;
+    const running = await this.workerInspector.countRunning(id);
+    if (running === 0) return null;
+    return viewOfProgress({ id, status: 'running', done: 0, running }, record);
+  }
+
   /** Whether the job was accepted so lately that its state then is within the permitted lag. */
   private isJustAccepted({ acceptedAt }: JobRecord): boolean {
     const maxAgeMs = Date.now() - acceptedAt + 2 * this.dependencies.settings.maxClockOffsetMs;
--- a/src/service/peers/peer-messages.ts
+++ b/src/service/peers/peer-messages.ts
@@ -58,10 +58,12 @@
 
 const NEVER_PLACED = 'unplaced';
 
-/** Encodes the leader's view; null if it has none. */
-export const encodeLeaderView = (view: JobView | 'never-placed' | null): object | string | null => {
+/** Encodes the leader's view; null if it has none or does not know. */
+export const encodeLeaderView = (
+  view: JobView | 'never-placed' | 'unknown' | null,
+): object | string | null => {
   if (view === 'never-placed') return NEVER_PLACED;
-  return view && encodeKnownView(view);
+  return view === 'unknown' || view === null ? null : encodeKnownView(view);
 };
 
 /** Decodes the leader's view; `undefined` stands for no answer. */
--- a/src/service/peers/peer-request-handler.ts
+++ b/src/service/peers/peer-request-handler.ts
@@ -52,11 +52,14 @@
     }
   }
 
-  private handleStatus(job: JobId, record: unknown): object | string | null {
-    const { queries } = this.jobs;
+  /** What this node knows of a job, by itself or, if the sender has read its record, by workers. */
+  private async handleStatus(job: JobId, record: unknown): Promise<object | string | null> {
+    const { queries, unfinishedJobs } = this.jobs;
     const local = queries.viewLocally(job);
     if (local || record === undefined) return encodeLeaderView(local);
-    return encodeLeaderView(queries.viewRecordedLocally(job));
+    const recorded = queries.viewRecordedLocally(job);
+    if (recorded !== null && recorded !== 'unknown') return encodeLeaderView(recorded);
+    return encodeLeaderView(await unfinishedJobs.viewByWorkers(job, decodeJob(record)));
   }
 
   private async handleCancellation(job: JobId | undefined): Promise<object | string> {
--- a/test/job-status.test.ts
+++ b/test/job-status.test.ts
@@ -2,12 +2,14 @@
  * What users are told of unfinished jobs by controllers that get no answer from the leader: never
  * that a running job is queued, and nothing less than before of jobs that wait.
  */
-import { afterEach, describe, expect, it } from 'vitest';
+import { afterEach, describe, expect, it, vi } from 'vitest';
 import { MAX_STATE_LAG_MS } from '../src/core/lifecycle/job-view.js';
-import type { JobId, NodeId, Revision } from '../src/core/model/ids.js';
+import type { Heartbeat } from '../src/core/model/heartbeat.js';
+import type { JobId, MachineId, NodeId, Revision } from '../src/core/model/ids.js';
 import type { Change, KeyValueStore, WatchResult } from '../src/ports/key-value-store.js';
 import { PlacedJobs } from '../src/service/job-progress/placed-jobs.js';
 import { ProgressReader } from '../src/service/job-progress/progress-reader.js';
+import { WorkerInspector } from '../src/service/job-progress/worker-inspector.js';
 import { encodeProgressReport, encodeSegment } from '../src/service/stored-records.js';
 import {
   type ClusterNode,
@@ -20,7 +22,7 @@
   until,
 } from './stand-ins/cluster.js';
 import { requestJson } from './stand-ins/http.js';
-import { ledgerEntry, recordedAttributes } from './support/builders.js';
+import { heartbeatOf, ledgerEntry, recordedAttributes, taskStatus } from './support/builders.js';
 
 afterEach(cleanUp);
 
@@ -104,16 +106,46 @@
     leader.stop();
     const counts = await countAnswers(others, 1000);
     expect(others.some((node) => node.controller.authority() === 'lead')).toBe(false);
-    expect(counts).toEqual({
-      [`${WAITING} queued`]: expect.any(Number),
-      [`${RUNNING} 503`]: expect.any(Number),
-    });
+    expect(Object.keys(counts).sort()).toEqual([`${RUNNING} 503`, `${WAITING} queued`]);
     await until(() => others.some((node) => node.controller.authority() === 'lead'));
     const later = await countAnswers(others, 1500);
     expect(later[`${RUNNING} queued`]).toBeUndefined();
     expect(later[`${WAITING} 503`]).toBeUndefined();
     await allSay(others, RUNNING, 'running');
   });
+
+  it('ask the workers that turn to them, and say that their jobs run', async () => {
+    const { nodes, cloud } = await startBusyCluster({
+      leaderLeaseMs: 3000,
+      servesInspections: true,
+    });
+    const leader = leaderOf(nodes);
+    const others = nodes.filter((node) => node !== leader);
+    await passPermittedLag();
+    leader.stop();
+    const counts = await countAnswers(others, 2000);
+    expect(others.some((node) => node.controller.authority() === 'lead')).toBe(false);
+    expect(counts[`${RUNNING} running`]).toBeGreaterThan(counts[`${RUNNING} 503`] ?? 0);
+    expect(counts[`${RUNNING} queued`]).toBeUndefined();
+    const [worker] = cloud.workers.values();
+    // Each node asks at most once a second.
+    expect(worker?.inspectionCount).toBeLessThanOrEqual(6);
+  });
+});
+
+describe('controllers whose leader alone is refused by the store', () => {
+  // Guards against: silence about jobs whose workers report to the former leader all the while.
+  it('go on saying which jobs run, by what the workers tell the former leader', async () => {
+    const { nodes, storeEndpoints } = await startBusyCluster({ leaderLeaseMs: 1500 });
+    const leader = leaderOf(nodes);
+    await passPermittedLag();
+    storeEndpoints[nodes.indexOf(leader)]!.isDown = true;
+    const counts = await countAnswers(nodes, 5000);
+    expect(leaderOf(nodes)).not.toBe(leader);
+    expect(counts[`${RUNNING} queued`]).toBeUndefined();
+    const unanswered = counts[`${RUNNING} 503`] ?? 0;
+    expect(counts[`${RUNNING} running`]).toBeGreaterThan(5 * unanswered);
+  });
 });
 
 describe('a repeated submission', () => {
@@ -264,3 +296,40 @@
     expect(await new PlacedJobs({ batchStore: silent }).includes('job-1' as JobId)).toBeNull();
   });
 });
+
+describe('an inspector of workers', () => {
+  const reported = (sequence: number, phase: 'running' | 'ended') =>
+    heartbeatOf('n-1', sequence, 7, [taskStatus(RUNNING, 0, 1, phase)]);
+  const inspectorOf = (answer: Heartbeat | null) => {
+    const inspect = vi.fn(async () => answer);
+    return { inspect, inspector: new WorkerInspector({ workers: { inspect } as never }) };
+  };
+  const count = (inspector: WorkerInspector) => inspector.countRunning(RUNNING as JobId);
+
+  it('asks the worker of a heartbeat whether it still runs the job, once for several questions', async () => {
+    const { inspect, inspector } = inspectorOf(reported(5, 'running'));
+    expect(await count(inspector)).toBe(0);
+    inspector.recordHint(reported(1, 'running'));
+    expect(await Promise.all([count(inspector), count(inspector)])).toEqual([1, 1]);
+    expect(inspect).toHaveBeenCalledTimes(1);
+  });
+
+  it.each([
+    ['a late heartbeat of a task that has ended', reported(5, 'ended')],
+    ['a worker that does not answer', null],
+    ['another machine at the endpoint', { ...reported(5, 'running'), machine: 'n-2' as MachineId }],
+  ])('does not take %s for a running task', async (_name, answer) => {
+    const { inspect, inspector } = inspectorOf(answer);
+    inspector.recordHint(reported(1, 'running'));
+    expect(await count(inspector)).toBe(0);
+    expect(inspect).toHaveBeenCalledTimes(1);
+  });
+
+  it('ignores a heartbeat that is older than one before it', async () => {
+    const { inspect, inspector } = inspectorOf(reported(5, 'running'));
+    inspector.recordHint(reported(2, 'ended'));
+    inspector.recordHint(reported(1, 'running'));
+    expect(await count(inspector)).toBe(0);
+    expect(inspect).not.toHaveBeenCalled();
+  });
+});
--- a/test/job-views.test.ts
+++ b/test/job-views.test.ts
@@ -78,7 +78,7 @@
     const { state, recover, report, statuses } = recoverLeader();
     recover();
     expect(statuses(100)).toEqual([null, 'queued']);
-    expect(viewRecordedJob(state, first, 100 as Instant)).toBeNull();
+    expect(viewRecordedJob(state, first, 100 as Instant)).toBe('unknown');
     expect(listJobProgress(state, 100 as Instant)).toMatchObject([{ id: first, status: null }]);
     report(200, 1, 7, [taskStatus(first, 0, 7_000_001)]);
     expect(statuses(200)).toEqual(['running', 'queued']);
@@ -103,7 +103,7 @@
     });
     recover();
     expect(statuses(100)).toEqual([null, null]);
-    expect(viewRecordedJob(state, 'job-3' as JobId, 100 as Instant)).toBeNull();
+    expect(viewRecordedJob(state, 'job-3' as JobId, 100 as Instant)).toBe('unknown');
     const end = state.schedulingStartsAt + 1;
     run(end, { kind: 'tick' });
     expect(statuses(end)[1]).toBe('queued');
--- a/test/stand-ins/cloud.ts
+++ b/test/stand-ins/cloud.ts
@@ -51,6 +51,8 @@
   lostRunMs = 0;
   /** Whether a task writes a checkpoint when it is stopped. */
   writesCheckpoints: (task: string) => boolean = () => false;
+  /** Whether workers of machines provisioned from now on answer inspections. */
+  servesInspections = false;
   /** Interval between the heartbeats of a worker. */
   heartbeatMs = 60;
   /** Run time of a task; null if it never ends. */
--- a/test/stand-ins/cluster.ts
+++ b/test/stand-ins/cluster.ts
@@ -74,6 +74,8 @@
   readonly capacity?: number;
   readonly leaderLeaseMs?: number;
   readonly heartbeatIntervalS?: number;
+  /** Whether workers answer inspections. */
+  readonly servesInspections?: boolean;
   /** Position of a controller that is cut off from its peers. */
   readonly isolatedNode?: number;
   /** Limits of the key-value store, under their names in the settings. */
@@ -133,6 +135,7 @@
   const { capacity = 3, isolatedNode = -1 } = options;
   const state = new KeyValueStoreServer();
   const cloud = new Cloud(capacity);
+  cloud.servesInspections = options.servesInspections ?? false;
   const storeEndpoints = await Promise.all(
     Array.from({ length: count }, () => state.openEndpoint()),
   );
--- a/test/stand-ins/worker.ts
+++ b/test/stand-ins/worker.ts
@@ -1,9 +1,12 @@
 /** A stand-in for a machine's worker: sends heartbeats, executes commands and runs tasks. */
-import { requestJson } from './http.js';
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { requestJson, sendJson } from './http.js';
 
 /** Delay of the first heartbeat, and of a heartbeat after one without a reply. */
 const FIRST_HEARTBEAT_MS = 10;
 const RETRY_MS = 30;
+const UNUSED_ENDPOINT = '127.0.0.1:9';
 
 /** A task in a heartbeat, in protocol format. */
 interface TaskReport {
@@ -38,6 +41,8 @@
   readonly controllerAddresses: readonly string[];
   readonly controllerNames: readonly string[];
   readonly heartbeatMs: number;
+  /** Whether workers answer inspections; else nothing listens on their endpoints. */
+  readonly servesInspections: boolean;
   /** Started attempts, as `task#attempt`. */
   readonly starts: string[];
   readonly taskEvents: TaskEvent[];
@@ -68,14 +73,31 @@
   private timer: NodeJS.Timeout | null = null;
   private isEnded = false;
   private readonly startedAt = new Map<string, number>();
+  private readonly server: Server | null;
+  /** Number of inspections that were answered. */
+  inspectionCount = 0;
 
   constructor(
     readonly machine: WorkerMachine,
     private readonly environment: WorkerEnvironment,
   ) {
+    this.server = environment.servesInspections ? this.serveInspections() : null;
     this.schedule(FIRST_HEARTBEAT_MS);
   }
 
+  private serveInspections(): Server {
+    const server = createServer((_request, response) => {
+      this.inspectionCount += 1;
+      sendJson(response, 200, this.heartbeat());
+    });
+    return server.listen(0, '127.0.0.1');
+  }
+
+  private get endpoint(): string {
+    const address = this.server?.address() as AddressInfo | null | undefined;
+    return address ? `127.0.0.1:${address.port}` : UNUSED_ENDPOINT;
+  }
+
   private recordEvent(kind: TaskEvent['kind'], task: string): void {
     const { taskEvents } = this.environment;
     taskEvents.push({ at: Date.now(), kind, task, machine: this.machine.id });
@@ -102,6 +124,7 @@
       this.environment.recordInterruption(task, this.ranMs(task), false);
     }
     this.isEnded = true;
+    this.server?.close();
     if (this.timer) clearTimeout(this.timer);
   }
 
@@ -116,7 +139,7 @@
     const { id, type, zone, spot } = this.machine;
     return {
       Berth: id,
-      Endpoint: '127.0.0.1:9',
+      Endpoint: this.endpoint,
       Hull: type,
       Yard: zone,
       Loaners: spot,
