--- a/src/service/job-progress/progress-publisher.ts
+++ b/src/service/job-progress/progress-publisher.ts
@@ -1,5 +1,5 @@
 /**
- * The leader's side of progress reports: publishes one in the key-value store whenever a follower
+ * The leader's side of progress snapshots: publishes one in the key-value store whenever a follower
  * asks for it there, because connections between controllers fail.
  */
 import { sleep, steadyNow } from '../../adapters/runtime/clock.js';
@@ -10,23 +10,23 @@
 import type { Dependencies } from '../dependencies.js';
 import {
   decodeProgressRequest,
-  encodeProgressReport,
+  encodeProgressSnapshot,
   LEADER_KEY,
   PROGRESS_REQUEST_PREFIX,
   type ProgressRequest,
-  progressReportKey,
+  progressSnapshotKey,
 } from '../stored-records.js';
 import type { TermContext } from '../term-context.js';
 
 /** How long the store holds one watch request open. */
 const WATCH_POLL_TIMEOUT_MS = 30_000;
 const RETRY_MS = 200;
-/** Shortest time between two reports: one report answers the requests of several followers. */
+/** Shortest time between two snapshots: one snapshot answers the requests of several followers. */
 const MIN_INTERVAL_MS = 300;
 /** A follower does not wait longer for its answer. */
 const WRITE_TIMEOUT_MS = 1000;
-/** Bounds a report to what one transaction takes. */
-const MAX_REPORT_BYTES = 48_000;
+/** Bounds a snapshot to what one transaction takes. */
+const MAX_SNAPSHOT_BYTES = 48_000;
 /** Share of the maximum value size: the store may count sizes differently. */
 const VALUE_FILL_SHARE = 0.9;
 
@@ -37,7 +37,7 @@
   readonly commandLoop: CommandLoop;
 }
 
-/** Publishes progress reports during one leader term. */
+/** Publishes progress snapshots during one leader term. */
 export class ProgressPublisher {
   /** The newest request of each controller. */
   private readonly requests = new Map<NodeId, ProgressRequest>();
@@ -86,19 +86,19 @@
   }
 
   /**
-   * Writes a report under the leader key's revision: that of a deposed leader is refused. A failure
+   * Writes a snapshot under the leader key's revision: that of a deposed leader is refused. A failure
    * is not retried, since followers repeat their requests.
    */
   private async publish(): Promise<void> {
     const { dependencies, term, commandLoop } = this.options;
     if (term.authority() !== 'lead' || !commandLoop.core.isRecovered) return;
     const jobs = listJobProgress(commandLoop.core, steadyNow());
-    const parts = encodeProgressReport({ requests: this.requests, jobs }, this.limits());
+    const pages = encodeProgressSnapshot({ requests: this.requests, jobs }, this.limits());
     const preconditions: Precondition[] = [
       { key: LEADER_KEY, revision: term.fencingToken as number as Revision },
     ];
-    const mutations = parts.map(
-      (value, part): Mutation => ({ put: progressReportKey(part), value }),
+    const mutations = pages.map(
+      (value, page): Mutation => ({ put: progressSnapshotKey(page), value }),
     );
     const { kind: outcome } = await dependencies.batchStore.compareAndSwap(
       preconditions,
@@ -107,16 +107,16 @@
       WRITE_TIMEOUT_MS,
     );
     dependencies.log.debug(
-      { outcome, jobs: jobs.length, parts: parts.length, nodes: [...this.requests.keys()] },
-      'progress report published',
+      { outcome, jobs: jobs.length, pages: pages.length, nodes: [...this.requests.keys()] },
+      'progress snapshot published',
     );
   }
 
   private limits() {
     const { maxValueBytes, maxTransactionOperations } =
       this.options.dependencies.settings.keyValueStoreLimits;
-    const maxPartBytes = Math.min(maxValueBytes * VALUE_FILL_SHARE, MAX_REPORT_BYTES);
-    const maxParts = Math.min(maxTransactionOperations, MAX_REPORT_BYTES / maxPartBytes);
-    return { maxPartBytes, maxParts: Math.max(1, Math.floor(maxParts)) };
+    const maxPageBytes = Math.min(maxValueBytes * VALUE_FILL_SHARE, MAX_SNAPSHOT_BYTES);
+    const maxPages = Math.min(maxTransactionOperations, MAX_SNAPSHOT_BYTES / maxPageBytes);
+    return { maxPageBytes, maxPages: Math.max(1, Math.floor(maxPages)) };
   }
 }
--- a/src/service/jobs/unfinished-job-resolver.ts
+++ b/src/service/jobs/unfinished-job-resolver.ts
@@ -41,7 +41,7 @@
 type Source =
   | 'own-state'
   | 'leader'
-  | 'progress-report'
+  | 'progress-snapshot'
   | 'ledger'
   | 'worker'
   | 'peer'
@@ -142,7 +142,7 @@
       case 'unanswered': {
         const progress = await this.progressReader.progressOf(id);
         const view = progress && viewOfProgress(progress, record);
-        return { source: 'progress-report', view };
+        return { source: 'progress-snapshot', view };
       }
     }
   }
--- a/src/service/stored-records.ts
+++ b/src/service/stored-records.ts
@@ -23,25 +23,25 @@
   LEDGER_PREFIX,
   LEGACY_LEDGER_PREFIX,
   MACHINE_TYPES_KEY,
-  PROGRESS_REPORT_PREFIX,
   PROGRESS_REQUEST_PREFIX,
-  progressReportKey,
+  PROGRESS_SNAPSHOT_PREFIX,
   progressRequestKey,
+  progressSnapshotKey,
 } from './stored-records/keys.js';
 /** The leader. */
 export { decodeLeader, type LeaderRecord } from './stored-records/leader-record.js';
 /** The cloud's machine types. */
 export { decodeMachineTypes } from './stored-records/machine-types-record.js';
-/** Requests for a progress report, and the reports. */
+/** Requests for a progress snapshot, and the snapshots. */
 export {
-  decodeProgressPart,
+  decodeProgressPage,
   decodeProgressRequest,
-  encodeProgressReport,
   encodeProgressRequest,
+  encodeProgressSnapshot,
   isSameRequest,
-  type ProgressPart,
-  type ProgressReport,
+  type ProgressPage,
   type ProgressRequest,
+  type ProgressSnapshot,
 } from './stored-records/progress-record.js';
 /** Segments of the placement ledger. */
 export {
--- a/src/service/stored-records/keys.ts
+++ b/src/service/stored-records/keys.ts
@@ -20,11 +20,11 @@
 /** Ledger format of early versions, with one key per machine. Its records count as unreadable. */
 export const LEGACY_LEDGER_PREFIX = 'm/';
 
-/** Followers' requests for a progress report: one key for each controller, which stays. */
+/** Followers' requests for a progress snapshot: one key for each controller, which stays. */
 export const PROGRESS_REQUEST_PREFIX = 'q/';
 
-/** Parts of the leader's newest progress report. */
-export const PROGRESS_REPORT_PREFIX = 'p/';
+/** Pages of the leader's newest progress snapshot. */
+export const PROGRESS_SNAPSHOT_PREFIX = 'p/';
 
 /** Records of extensions. */
 const EXTENSION_PREFIX = 'x/';
@@ -42,8 +42,8 @@
 /** Key of a job's completion, which replaces the job's record. */
 export const completionKey = (id: JobId): string => `${COMPLETION_PREFIX}${id}`;
 
-/** Key of a controller's request for a progress report. */
+/** Key of a controller's request for a progress snapshot. */
 export const progressRequestKey = (node: NodeId): string => `${PROGRESS_REQUEST_PREFIX}${node}`;
 
-/** Key of one part of the progress report. */
-export const progressReportKey = (part: number): string => `${PROGRESS_REPORT_PREFIX}${part}`;
+/** Key of one page of the progress snapshot. */
+export const progressSnapshotKey = (page: number): string => `${PROGRESS_SNAPSHOT_PREFIX}${page}`;
--- a/src/service/stored-records/progress-record.ts
+++ b/src/service/stored-records/progress-record.ts
@@ -1,7 +1,7 @@
 /**
- * Requests for a progress report, and the reports: how a follower that gets no answer from the
- * leader learns of jobs' progress through the key-value store. A report names the requests that it
- * answers, so that each follower knows the report's maximum age by its own clock.
+ * Requests for a progress snapshot, and the snapshots: how a follower that gets no answer from the
+ * leader learns of jobs' progress through the key-value store. A snapshot names the requests that it
+ * answers, so that each follower knows the snapshot's maximum age by its own clock.
  */
 import * as v from 'valibot';
 import type { JobProgress } from '../../core/lifecycle/job-view.js';
@@ -9,7 +9,7 @@
 import { brandedString, nonNegativeInteger } from './validators.js';
 
 const requestSchema = v.object({
-  /** The process that asks, so that a restarted one does not take an old report for an answer. */
+  /** The process that asks, so that a restarted one does not take an old snapshot for an answer. */
   life: v.string(),
   n: nonNegativeInteger(),
 });
@@ -23,35 +23,35 @@
   v.tuple([brandedString<JobId>()]),
 ]);
 
-const partSchema = v.object({
-  part: nonNegativeInteger(),
-  parts: nonNegativeInteger(),
-  /** Whether the parts together name all jobs that have begun. */
+const pageSchema = v.object({
+  page: nonNegativeInteger(),
+  pages: nonNegativeInteger(),
+  /** Whether the pages together name all jobs that have begun. */
   whole: v.boolean(),
-  /** The requests that the report answers, by controller. */
+  /** The requests that the snapshot answers, by controller. */
   asked: v.record(v.string(), requestSchema),
   jobs: v.array(jobRowSchema),
 });
-type StoredPart = v.InferInput<typeof partSchema>;
+type StoredPage = v.InferInput<typeof pageSchema>;
 type StoredJobRow = v.InferInput<typeof jobRowSchema>;
 
 /** The progress of all jobs that have begun, and the requests to answer. */
-export interface ProgressReport {
+export interface ProgressSnapshot {
   readonly requests: ReadonlyMap<NodeId, ProgressRequest>;
   readonly jobs: readonly JobProgress[];
 }
 
-/** One part of a report; all its parts have the same revision. */
-export interface ProgressPart extends ProgressReport {
-  readonly part: number;
-  readonly parts: number;
+/** One page of a snapshot; all its pages have the same revision. */
+export interface ProgressPage extends ProgressSnapshot {
+  readonly page: number;
+  readonly pages: number;
   readonly isWhole: boolean;
 }
 
-/** Limits of a report: the size of each part's value in bytes, and the number of parts. */
-export interface ProgressReportLimits {
-  readonly maxPartBytes: number;
-  readonly maxParts: number;
+/** Limits of a snapshot: the size of each page's value in bytes, and the number of pages. */
+export interface ProgressSnapshotLimits {
+  readonly maxPageBytes: number;
+  readonly maxPages: number;
 }
 
 /** Whether both are the same request of the same process. */
@@ -73,41 +73,41 @@
 const encodeJobRow = ({ id, status, done, running }: JobProgress): StoredJobRow =>
   status === null ? [id] : [id, done, running];
 
-/** Distributes the rows over parts of at most `rowBytes`; the rest of them is left out. */
+/** Distributes the rows over pages of at most `rowBytes`; the rest of them is left out. */
 const distributeRows = (
   rows: readonly StoredJobRow[],
   rowBytes: number,
-  maxParts: number,
-): { parts: StoredJobRow[][]; isWhole: boolean } => {
-  let part: StoredJobRow[] = [];
-  const parts = [part];
+  maxPages: number,
+): { pages: StoredJobRow[][]; isWhole: boolean } => {
+  let page: StoredJobRow[] = [];
+  const pages = [page];
   let bytes = 0;
   for (const row of rows) {
     const size = JSON.stringify(row).length + 1;
     if (bytes + size > rowBytes) {
-      if (parts.length >= maxParts) return { parts, isWhole: false };
-      part = [];
-      parts.push(part);
+      if (pages.length >= maxPages) return { pages, isWhole: false };
+      page = [];
+      pages.push(page);
       bytes = 0;
     }
-    part.push(row);
+    page.push(row);
     bytes += size;
   }
-  return { parts, isWhole: true };
+  return { pages, isWhole: true };
 };
 
-/** Encodes a report as the values of its parts. */
-export const encodeProgressReport = (
-  { requests, jobs }: ProgressReport,
-  { maxPartBytes, maxParts }: ProgressReportLimits,
-): StoredPart[] => {
+/** Encodes a snapshot as the values of its pages. */
+export const encodeProgressSnapshot = (
+  { requests, jobs }: ProgressSnapshot,
+  { maxPageBytes, maxPages }: ProgressSnapshotLimits,
+): StoredPage[] => {
   const asked = Object.fromEntries(requests);
-  const envelope = { part: maxParts, parts: maxParts, whole: false, asked, jobs: [] };
-  const rowBytes = maxPartBytes - JSON.stringify(envelope).length;
-  const { parts, isWhole } = distributeRows(jobs.map(encodeJobRow), rowBytes, maxParts);
-  return parts.map((rows, part) => ({
-    part,
-    parts: parts.length,
+  const envelope = { page: maxPages, pages: maxPages, whole: false, asked, jobs: [] };
+  const rowBytes = maxPageBytes - JSON.stringify(envelope).length;
+  const { pages, isWhole } = distributeRows(jobs.map(encodeJobRow), rowBytes, maxPages);
+  return pages.map((rows, page) => ({
+    page,
+    pages: pages.length,
     whole: isWhole,
     asked,
     jobs: rows,
@@ -120,14 +120,14 @@
   return { id, status: running > 0 ? 'running' : 'queued', done, running };
 };
 
-/** Returns null if the part is invalid. */
-export const decodeProgressPart = (value: unknown): ProgressPart | null => {
-  const parsed = v.safeParse(partSchema, value);
+/** Returns null if the page is invalid. */
+export const decodeProgressPage = (value: unknown): ProgressPage | null => {
+  const parsed = v.safeParse(pageSchema, value);
   if (!parsed.success) return null;
-  const { part, parts, whole, asked, jobs } = parsed.output;
+  const { page, pages, whole, asked, jobs } = parsed.output;
   return {
-    part,
-    parts,
+    page,
+    pages,
     isWhole: whole,
     requests: new Map(Object.entries(asked) as [NodeId, ProgressRequest][]),
     jobs: jobs.map(decodeJobRow),
--- a/test/job-status.test.ts
+++ b/test/job-status.test.ts
@@ -10,7 +10,7 @@
 import { PlacedJobs } from '../src/service/job-progress/placed-jobs.js';
 import { ProgressReader } from '../src/service/job-progress/progress-reader.js';
 import { WorkerInspector } from '../src/service/job-progress/worker-inspector.js';
-import { encodeProgressReport, encodeSegment } from '../src/service/stored-records.js';
+import { encodeProgressSnapshot, encodeSegment } from '../src/service/stored-records.js';
 import {
   type ClusterNode,
   type ClusterOptions,
@@ -208,9 +208,9 @@
   return { store: store as KeyValueStore, writes };
 };
 
-describe('a reader of progress reports', () => {
+describe('a reader of progress snapshots', () => {
   const node = 'node-1' as NodeId;
-  const limits = { maxPartBytes: 250, maxParts: 2 };
+  const limits = { maxPageBytes: 250, maxPages: 2 };
   const jobs = (count: number) =>
     Array.from({ length: count }, (_, i) => ({
       id: `job-${i}` as JobId,
@@ -218,26 +218,26 @@
       done: 1,
       running: 2,
     }));
-  const readerOf = (life: string, n: number, count: number, omitPart = false) => {
+  const readerOf = (life: string, n: number, count: number, omitPage = false) => {
     const request = { life, n };
-    const parts = encodeProgressReport(
+    const pages = encodeProgressSnapshot(
       { requests: new Map([[node, request]]), jobs: jobs(count) },
       limits,
     );
-    const changes = parts.map((value, part) => ({ key: `p/${part}`, value, revision: REVISION }));
-    const { store, writes } = storeWith(() => (omitPart ? changes.slice(1) : changes));
+    const changes = pages.map((value, page) => ({ key: `p/${page}`, value, revision: REVISION }));
+    const { store, writes } = storeWith(() => (omitPage ? changes.slice(1) : changes));
     const reader = new ProgressReader(
       { batchStore: store, log, settings: { node } as never },
       'life-2',
     );
-    return { reader, writes, partCount: parts.length };
+    return { reader, writes, pageCount: pages.length };
   };
   const statusOf = async (reader: ProgressReader, id: string) =>
     (await reader.progressOf(id as JobId))?.status ?? null;
 
-  it('takes a report in parts that answers its request', async () => {
-    const { reader, writes, partCount } = readerOf('life-2', 1, 12);
-    expect(partCount).toBe(2);
+  it('takes a snapshot in pages that answers its request', async () => {
+    const { reader, writes, pageCount } = readerOf('life-2', 1, 12);
+    expect(pageCount).toBe(2);
     expect(await statusOf(reader, 'job-0')).toBe('running');
     expect(await statusOf(reader, 'job-11')).toBe('running');
     expect(await statusOf(reader, 'job-1')).toBeNull();
@@ -245,7 +245,7 @@
     expect(writes).toEqual([{ put: 'q/node-1', value: { life: 'life-2', n: 1 } }]);
   });
 
-  it('does not say that a job is queued by a report without room for all jobs', async () => {
+  it('does not say that a job is queued by a snapshot without room for all jobs', async () => {
     const { reader } = readerOf('life-2', 1, 80);
     expect(await statusOf(reader, 'job-0')).toBe('running');
     expect(await statusOf(reader, 'job-79')).toBeNull();
@@ -254,9 +254,9 @@
   it.each([
     ['an answer to an earlier process of its node', 'life-1', 1, false],
     ['an answer to another request', 'life-2', 7, false],
-    ['a report of which a part is missing', 'life-2', 1, true],
-  ])('ignores %s', async (_name, life, n, omitPart) => {
-    const { reader } = readerOf(life, n, 12, omitPart);
+    ['a snapshot of which a page is missing', 'life-2', 1, true],
+  ])('ignores %s', async (_name, life, n, omitPage) => {
+    const { reader } = readerOf(life, n, 12, omitPage);
     expect(await statusOf(reader, 'job-0')).toBeNull();
   });
 });
--- a/test/peer-messages.test.ts
+++ b/test/peer-messages.test.ts
@@ -6,10 +6,13 @@
   decodeAdmission,
   decodeHealth,
   decodeJobView,
+  decodeLeaderView,
   decodeLookup,
   decodeOperatorAnswer,
   encodeAdmission,
   encodeHealth,
+  encodeKnownView,
+  encodeLeaderView,
   encodeLookup,
 } from '../src/service/peers/peer-messages.js';
 
@@ -41,6 +44,35 @@
   });
 });
 
+describe('a view that earlier versions send without knowing', () => {
+  const doubtful: JobView = { ...job, status: 'queued', running: 0, waiting: 'no leader to ask' };
+  const recovering = { ...doubtful, waiting: 'a new leader waits for the workers to report' };
+
+  // Guards against: a follower that passes on what an earlier version did not know.
+  it('counts only with the mark of this version, from a look-up, an admission and a leader', () => {
+    for (const view of [doubtful, recovering]) {
+      const marked = encodeKnownView(view);
+      expect(marked).toEqual({ ...view, known: true });
+      expect(decodeLookup(view, id)).toBeNull();
+      expect(decodeLookup(marked, id)).toEqual({ kind: 'found', job: view });
+      expect(decodeLeaderView(view, id)).toEqual({ kind: 'unknown' });
+      expect(decodeLeaderView(marked, id)).toEqual({ kind: 'viewed', job: view });
+      expect(decodeAdmission({ kind: 'known', view }, id)).toBeNull();
+      expect(decodeAdmission({ kind: 'known', view: marked }, id)).not.toBeNull();
+    }
+    expect(encodeKnownView(job)).toBe(job);
+  });
+
+  it('is told apart from no answer, and from a job of which no task was ever placed', () => {
+    expect(decodeLeaderView(undefined, id)).toEqual({ kind: 'unanswered' });
+    expect(decodeLeaderView(null, id)).toEqual({ kind: 'unknown' });
+    expect(decodeLeaderView(job, otherId)).toEqual({ kind: 'unknown' });
+    expect(encodeLeaderView('never-placed')).toBe('unplaced');
+    expect(decodeLeaderView('unplaced', id)).toEqual({ kind: 'never-placed' });
+    expect([encodeLeaderView('unknown'), encodeLeaderView(null)]).toEqual([null, null]);
+  });
+});
+
 describe('an admission between controllers', () => {
   it.each<[SubmissionResult, object]>([
     [
--- a/test/pinned-records.test.ts
+++ b/test/pinned-records.test.ts
@@ -20,7 +20,13 @@
 import { parseMachineTypes } from '../src/adapters/wire/cloud.js';
 import { parseJob } from '../src/adapters/wire/jobs.js';
 import { segmentKey } from '../src/core/ledger/segments.js';
-import type { FencingToken, MachineTypeName, TeamName, ZoneName } from '../src/core/model/ids.js';
+import type {
+  FencingToken,
+  MachineTypeName,
+  NodeId,
+  TeamName,
+  ZoneName,
+} from '../src/core/model/ids.js';
 import type { JobSpec } from '../src/core/model/job.js';
 import {
   COMPLETION_PREFIX,
@@ -29,9 +35,13 @@
   decodeJob,
   decodeLeader,
   decodeMachineTypes,
+  decodeProgressPage,
+  decodeProgressRequest,
   decodeSegment,
   encodeCompletion,
   encodeJob,
+  encodeProgressRequest,
+  encodeProgressSnapshot,
   encodeSegment,
   extensionKey,
   extensionPrefix,
@@ -42,6 +52,9 @@
   LEDGER_PREFIX,
   LEGACY_LEDGER_PREFIX,
   MACHINE_TYPES_KEY,
+  type ProgressSnapshot,
+  progressRequestKey,
+  progressSnapshotKey,
   type SegmentRecord,
 } from '../src/service/stored-records.js';
 import { loadPins } from './fixtures/pins.js';
@@ -226,6 +239,36 @@
   }
 });
 
+describe('progress records', () => {
+  const node = 'node-1' as NodeId;
+  const request = { life: '1790000000123-42', n: 3 };
+  const snapshot: ProgressSnapshot = {
+    requests: new Map([[node, request]]),
+    jobs: [
+      { id: 'job-000412' as JobId, status: 'running', done: 17, running: 4 },
+      { id: 'job-413' as JobId, status: 'queued', done: 2, running: 0 },
+      { id: 'job-414' as JobId, status: null, done: 0, running: 0 },
+    ],
+  };
+
+  it('of a request are as pinned, and are read back', () => {
+    pins.check('progress request', [progressRequestKey(node), encodeProgressRequest(request)]);
+    const [, value] = pins.get<[string, unknown]>('progress request');
+    expect(decodeProgressRequest(value)).toEqual(request);
+    expect(decodeProgressRequest({ ...request, n: -1 })).toBeNull();
+  });
+
+  it('of a snapshot are as pinned, and are read back', () => {
+    const limits = { maxPageBytes: 4000, maxPages: 2 };
+    const pages = encodeProgressSnapshot(snapshot, limits);
+    pins.check('progress snapshot', [progressSnapshotKey(0), ...pages]);
+    const [, value] = pins.get<[string, unknown]>('progress snapshot');
+    const expected = { ...snapshot, page: 0, pages: 1, isWhole: true };
+    expect(decodeProgressPage(value)).toEqual(expected);
+    expect(decodeProgressPage({ odd: true })).toBeNull();
+  });
+});
+
 describe('drain records', () => {
   const drainOf = (name: string, change: Partial<Drain> = {}): Drain => {
     const read = parseDrainRequest(inputs.get(name));
