--- a/packages/drain/src/core/disruption-tracker.ts
+++ b/packages/drain/src/core/disruption-tracker.ts
@@ -2,16 +2,11 @@
  * Disruptions that no drain requests: evictions of replicas by the core, reclaim notices, and
  * attempts lost with their machines.
  */
-import type {
-  AttemptId,
-  AttemptRelease,
-  AttemptView,
-  MachineView,
-  Moment,
-} from '@robinspread/extension-api';
+import type { AttemptId, AttemptRelease, AttemptView, Moment } from '@robinspread/extension-api';
 import type { BudgetLedger } from './budget-ledger.js';
 import type { DecisionContext } from './decision-context.js';
 import type { DrainRegistry } from './drain-registry.js';
+import { isBeingLost } from './machine-selection.js';
 
 /** Interval of checks for reclaim notices, which are not reported as events. */
 const RECLAIM_SCAN_INTERVAL_MS = 500;
@@ -22,9 +17,6 @@
   phase === 'checkpointing' ||
   phase === 'unconfirmed';
 
-const isBeingLost = ({ reclaimAt, lostAt, isDeleting }: MachineView): boolean =>
-  reclaimAt !== null || lostAt !== null || isDeleting;
-
 const isUnfinished = ({ job, isSuperseded, phase }: AttemptView): boolean =>
   job?.terminalState === 'none' && !isSuperseded && phase !== 'ended';
 
--- a/src/core/fleet/inventory.ts
+++ b/src/core/fleet/inventory.ts
@@ -63,7 +63,6 @@
     machine = createMachine(listed.id, listed, provisionedAt, now);
     state.machines.set(listed.id, machine);
   }
-  machine.isListed = true;
   if (!machine.endpoint) machine.endpoint = listed.endpoint;
   if (listed.status !== 'failed') return;
   machine.isDraining = true;
--- a/src/core/fleet/machine-health.ts
+++ b/src/core/fleet/machine-health.ts
@@ -22,7 +22,6 @@
   isReady: false,
   hasReported: false,
   isProvisionedThisTerm: false,
-  isListed: false,
   lastHeartbeatAt: now,
   lostAt: null,
   lostReason: '',
--- a/src/core/model/entities.ts
+++ b/src/core/model/entities.ts
@@ -132,8 +132,6 @@
   hasReported: boolean;
   /** Provisioned under this term: no former leader can have sent it a start. */
   isProvisionedThisTerm: boolean;
-  /** Whether the cloud has listed it. */
-  isListed: boolean;
   lastHeartbeatAt: Instant;
   /** Since when it has counted as lost; null while it does not. */
   lostAt: Instant | null;
--- a/src/service/job-progress/progress-publisher.ts
+++ b/src/service/job-progress/progress-publisher.ts
@@ -8,6 +8,8 @@
 import type { Change, Mutation, Precondition } from '../../ports/key-value-store.js';
 import type { CommandLoop } from '../command-loop.js';
 import type { Dependencies } from '../dependencies.js';
+import { watchPrefix } from '../prefix-watch.js';
+import { listPrefix } from '../store-listing.js';
 import {
   decodeProgressRequest,
   encodeProgressSnapshot,
@@ -20,7 +22,6 @@
 
 /** How long the store holds one watch request open. */
 const WATCH_POLL_TIMEOUT_MS = 30_000;
-const RETRY_MS = 200;
 /** Shortest time between two snapshots: one snapshot answers the requests of several followers. */
 const MIN_INTERVAL_MS = 300;
 /** A follower does not wait longer for its answer. */
@@ -45,32 +46,32 @@
   constructor(private readonly options: ProgressPublisherOptions) {}
 
   /** Answers requests made after revision `from`, until the term has ended. */
-  async run(from: Revision): Promise<void> {
+  run(from: Revision): Promise<void> {
     const { dependencies, term } = this.options;
-    let revision = from;
-    while (term.isCurrent) {
-      const result = await dependencies.batchStore.watch(
-        PROGRESS_REQUEST_PREFIX,
-        revision,
-        WATCH_POLL_TIMEOUT_MS,
-      );
-      if (!term.isCurrent) return;
-      if (result.kind === 'changes') {
-        revision = result.revision;
-        if (this.recordRequests(result.changes)) {
-          await this.publish();
-          await sleep(MIN_INTERVAL_MS);
-        }
-      } else if (result.kind === 'too-old') {
-        // A request that this misses is repeated.
-        revision = (await this.currentRevision()) ?? revision;
-      } else await sleep(dependencies.jitter.apply(RETRY_MS));
-    }
+    return watchPrefix(
+      {
+        dependencies,
+        term,
+        prefix: PROGRESS_REQUEST_PREFIX,
+        pollTimeoutMs: WATCH_POLL_TIMEOUT_MS,
+        onChanges: (changes) => this.answer(changes),
+        onMissedChanges: () => this.skipMissedRequests(),
+      },
+      from,
+    );
   }
 
-  private async currentRevision(): Promise<Revision | null> {
-    const listing = await this.options.dependencies.batchStore.listAll(PROGRESS_REQUEST_PREFIX);
-    return listing.kind === 'listed' ? listing.revision : null;
+  private async answer(changes: readonly Change[]): Promise<void> {
+    if (!this.recordRequests(changes)) return;
+    await this.publish();
+    await sleep(MIN_INTERVAL_MS);
+  }
+
+  /** A request that is missed is repeated. */
+  private async skipMissedRequests(): Promise<Revision | null> {
+    const { dependencies, term } = this.options;
+    const listing = await listPrefix(dependencies, term, PROGRESS_REQUEST_PREFIX);
+    return listing?.revision ?? null;
   }
 
   /** Returns whether the changes hold a request. */
--- a/src/service/job-watch.ts
+++ b/src/service/job-watch.ts
@@ -1,18 +1,17 @@
 /** Watches the prefix of job records, to receive jobs that other controllers admit. */
 
-import { sleep } from '../adapters/runtime/clock.js';
 import type { Revision } from '../core/model/ids.js';
 import type { Change, StoredItem } from '../ports/key-value-store.js';
 import type { CommandLoop } from './command-loop.js';
 import type { Dependencies } from './dependencies.js';
 import type { JobIntake } from './job-intake.js';
+import { watchPrefix } from './prefix-watch.js';
 import { listPrefix } from './store-listing.js';
 import { JOB_PREFIX } from './stored-records.js';
 import type { TermContext } from './term-context.js';
 
 /** How long the store holds one watch request open. */
 const WATCH_POLL_TIMEOUT_MS = 15_000;
-const RETRY_MS = 200;
 
 /** Components that the watch reads from and submits to. */
 export interface JobWatchOptions {
@@ -31,27 +30,28 @@
   constructor(private readonly options: JobWatchOptions) {}
 
   /** Watches for changes after revision `from`, until the term has ended. */
-  async run(from: Revision): Promise<void> {
+  run(from: Revision): Promise<void> {
     const { dependencies, term } = this.options;
-    let revision = from;
-    while (term.isCurrent) {
-      const result = await dependencies.batchStore.watch(
-        JOB_PREFIX,
-        revision,
-        WATCH_POLL_TIMEOUT_MS,
-      );
-      if (!term.isCurrent) return;
-      if (result.kind === 'changes') {
-        revision = result.revision;
-        this.submitJobs(writtenItems(result.changes));
-      } else if (result.kind === 'too-old') {
-        // Changes since this revision are missing: all jobs are listed again.
-        const listing = await listPrefix(dependencies, term, JOB_PREFIX);
-        if (!listing) return;
-        revision = listing.revision;
-        this.submitJobs(listing.items);
-      } else await sleep(dependencies.jitter.apply(RETRY_MS));
-    }
+    return watchPrefix(
+      {
+        dependencies,
+        term,
+        prefix: JOB_PREFIX,
+        pollTimeoutMs: WATCH_POLL_TIMEOUT_MS,
+        onChanges: (changes) => this.submitJobs(writtenItems(changes)),
+        onMissedChanges: () => this.submitAllJobs(),
+      },
+      from,
+    );
+  }
+
+  /** Changes are missing: all jobs are listed again. */
+  private async submitAllJobs(): Promise<Revision | null> {
+    const { dependencies, term } = this.options;
+    const listing = await listPrefix(dependencies, term, JOB_PREFIX);
+    if (!listing) return null;
+    this.submitJobs(listing.items);
+    return listing.revision;
   }
 
   private submitJobs(items: readonly StoredItem[]): void {
