--- a/src/service/job-progress/placed-jobs.ts
+++ b/src/service/job-progress/placed-jobs.ts
@@ -24,19 +24,21 @@
 interface LedgerCopy {
   readonly segments: JobsBySegment;
   readonly revision: Revision;
-  /** When the newest read was sent. */
-  readonly readAt: Instant;
+  /** When the newest read was sent, and when its answer came: what was read is from between. */
+  readonly sentAt: Instant;
+  readonly receivedAt: Instant;
   /** Every job that a segment names; null if a segment is unreadable. */
   readonly jobs: ReadonlySet<JobId> | null;
 }
 
-const createCopy = (segments: JobsBySegment, revision: Revision, readAt: Instant): LedgerCopy => {
+/** Every job that a segment names; null if a segment is unreadable. */
+const namedJobs = (segments: JobsBySegment): ReadonlySet<JobId> | null => {
   const jobs = new Set<JobId>();
   for (const named of segments.values()) {
-    if (named === null) return { segments, revision, readAt, jobs: null };
+    if (named === null) return null;
     for (const job of named) jobs.add(job);
   }
-  return { segments, revision, readAt, jobs };
+  return jobs;
 };
 
 const applyChanges = (segments: JobsBySegment, changes: readonly Change[]): void => {
@@ -46,6 +48,12 @@
   }
 };
 
+/** What the ledger said of a job, at a time not after `asOf`. */
+export interface LedgerFinding {
+  readonly isNamed: boolean;
+  readonly asOf: Instant;
+}
+
 /** Reads the ledger when asked, and then only its changes. */
 export class PlacedJobs {
   private copy: LedgerCopy | null = null;
@@ -56,18 +64,18 @@
   constructor(private readonly dependencies: Pick<Dependencies, 'batchStore'>) {}
 
   /**
-   * Whether the ledger names the job, at most the permitted lag ago; null if the ledger was not
-   * read or may name any job.
+   * Whether the ledger named the job, well within the permitted lag; null if the ledger was not read
+   * or may name any job.
    */
-  async includes(id: JobId): Promise<boolean | null> {
+  async find(id: JobId): Promise<LedgerFinding | null> {
     if (!this.isFresh() && steadyNow() >= this.readNotBefore) this.pendingRead ??= this.read();
     await this.pendingRead;
-    if (!this.isFresh()) return null;
-    return this.copy?.jobs?.has(id) ?? null;
+    if (!this.copy?.jobs || !this.isFresh()) return null;
+    return { isNamed: this.copy.jobs.has(id), asOf: this.copy.receivedAt };
   }
 
   private isFresh(): boolean {
-    return this.copy !== null && steadyNow() - this.copy.readAt < MAX_AGE_MS;
+    return this.copy !== null && steadyNow() - this.copy.sentAt < MAX_AGE_MS;
   }
 
   private async read(): Promise<void> {
@@ -91,15 +99,24 @@
     if (legacy.items.length > 0) return null;
     const segments: JobsBySegment = new Map();
     for (const { key, value } of ledger.items) segments.set(key, listPlacedJobs(value));
-    return this.readChanges(createCopy(segments, ledger.revision, steadyNow()));
+    return this.readChanges({ segments, revision: ledger.revision });
   }
 
-  private async readChanges({ segments, revision }: LedgerCopy): Promise<LedgerCopy | null> {
-    const readAt = steadyNow();
+  private async readChanges({
+    segments,
+    revision,
+  }: Pick<LedgerCopy, 'segments' | 'revision'>): Promise<LedgerCopy | null> {
+    const sentAt = steadyNow();
     const result = await this.dependencies.batchStore.watch(LEDGER_PREFIX, revision, NO_WAIT_MS);
     if (result.kind !== 'changes') return null;
     applyChanges(segments, result.changes);
-    return createCopy(segments, result.revision, readAt);
+    return {
+      segments,
+      revision: result.revision,
+      sentAt,
+      receivedAt: steadyNow(),
+      jobs: namedJobs(segments),
+    };
   }
 
   private dropWhenIdle(): void {
--- a/src/service/job-progress/progress-reader.ts
+++ b/src/service/job-progress/progress-reader.ts
@@ -32,12 +32,19 @@
 const RETRY_MS = 1500;
 
 interface ReceivedSnapshot {
-  /** When the request was sent that the snapshot answers: the snapshot is newer. */
+  /** When the request was sent, and when the snapshot came: it was taken between. */
   readonly askedAt: Instant;
+  readonly receivedAt: Instant;
   readonly isWhole: boolean;
   readonly jobs: ReadonlyMap<JobId, JobProgress>;
 }
 
+/** How far a job had come, at a time not after `asOf`. */
+export interface ProgressFinding {
+  readonly progress: JobProgress;
+  readonly asOf: Instant;
+}
+
 /** Reads progress snapshots for one controller. */
 export class ProgressReader {
   private snapshot: ReceivedSnapshot | null = null;
@@ -57,17 +64,15 @@
    * The progress of a job that was unfinished when it was read, by a snapshot of at most the permitted
    * lag; null if there is no such snapshot or it does not tell. Waits for a bounded time.
    */
-  async progressOf(id: JobId): Promise<JobProgress | null> {
+  async find(id: JobId): Promise<ProgressFinding | null> {
     if (this.snapshotAge() > RENEWAL_AGE_MS && steadyNow() >= this.requestNotBefore)
       this.pendingRequest ??= this.renew();
     if (this.snapshotAge() > MAX_SNAPSHOT_AGE_MS && this.pendingRequest && !this.hasFailed)
       await Promise.race([this.pendingRequest, sleep(QUESTION_TIMEOUT_MS)]);
     const { snapshot } = this;
     if (!snapshot || this.snapshotAge() > MAX_SNAPSHOT_AGE_MS) return null;
-    const progress = snapshot.jobs.get(id);
-    if (progress) return progress.status === null ? null : progress;
-    // A whole snapshot names every job of which a task may have run.
-    return snapshot.isWhole ? { id, status: 'queued', done: 0, running: 0 } : null;
+    const progress = findProgress(snapshot, id);
+    return progress && { progress, asOf: snapshot.receivedAt };
   }
 
   private snapshotAge(): number {
@@ -142,8 +147,17 @@
   }
 }
 
+/** Null if the snapshot does not tell. */
+const findProgress = ({ jobs, isWhole }: ReceivedSnapshot, id: JobId): JobProgress | null => {
+  const progress = jobs.get(id);
+  if (progress) return progress.status === null ? null : progress;
+  // A whole snapshot names every job of which a task may have run.
+  return isWhole ? { id, status: 'queued', done: 0, running: 0 } : null;
+};
+
 const assembleSnapshot = (pages: readonly ProgressPage[], askedAt: Instant): ReceivedSnapshot => {
   const jobs = new Map<JobId, JobProgress>();
   for (const page of pages) for (const progress of page.jobs) jobs.set(progress.id, progress);
-  return { askedAt, isWhole: pages.every((page) => page.isWhole), jobs };
+  const isWhole = pages.every((page) => page.isWhole);
+  return { askedAt, receivedAt: steadyNow(), isWhole, jobs };
 };
--- a/src/service/jobs/job-query-service.ts
+++ b/src/service/jobs/job-query-service.ts
@@ -97,17 +97,17 @@
     const stored = await this.readStored(id);
     if (stored.kind !== 'unfinished') return stored;
     const readAt = steadyNow();
-    const ownView = this.viewRecordedLocally(id);
-    const job = await this.unfinishedJobs.resolve({
+    const { view, asOf = readAt } = await this.unfinishedJobs.resolve({
       id,
       record: stored.record,
-      ownView,
+      ownView: this.viewRecordedLocally(id),
       isLeaderSilent,
     });
-    if (!job) return PROGRESS_UNKNOWN;
-    if (steadyNow() - readAt < MAX_READ_AGE_MS) return { kind: 'found', job };
+    if (!view) return PROGRESS_UNKNOWN;
+    const found: LookupResult = { kind: 'found', job: view };
+    if (asOf <= readAt && steadyNow() - readAt < MAX_READ_AGE_MS) return found;
     const reread = await this.readStored(id);
-    return reread.kind === 'unfinished' ? { kind: 'found', job } : reread;
+    return reread.kind === 'unfinished' ? found : reread;
   }
 
   /** Queries this node, the leader, then the store, or, if it is down, a peer that reaches it. */
--- a/src/service/jobs/unfinished-job-resolver.ts
+++ b/src/service/jobs/unfinished-job-resolver.ts
@@ -10,6 +10,7 @@
   viewReportedJob,
 } from '../../core/lifecycle/job-view.js';
 import type { JobId, TeamName } from '../../core/model/ids.js';
+import type { Instant } from '../../core/model/time.js';
 import type { JobView } from '../../ports/user-api.js';
 import type { Dependencies } from '../dependencies.js';
 import type { PlacedJobs } from '../job-progress/placed-jobs.js';
@@ -23,6 +24,8 @@
 
 /** Users wait 2 s, of which the leader and the store were given a part before. */
 const RESOLUTION_TIMEOUT_MS = 1000;
+/** Bounds the processor time that questions to all peers take. */
+const MAX_PENDING_PEER_QUESTIONS = 8;
 /** Part of the permitted lag that is left for answering the question. */
 const ANSWER_MARGIN_MS = 500;
 
@@ -48,9 +51,16 @@
   | 'acceptance'
   | 'none';
 
-interface Resolution {
+/** A job's view, at most the permitted lag old. */
+export interface Resolution {
   readonly source: Source;
+  /** null if no source tells. */
   readonly view: JobView | null;
+  /**
+   * Set if the source lacks jobs that have ended, and may be of a time up to this one: a record
+   * read before may be of a job that has ended since.
+   */
+  readonly asOf?: Instant;
 }
 
 const UNRESOLVED: Resolution = { source: 'none', view: null };
@@ -73,6 +83,8 @@
 
 /** Resolves unfinished jobs on any controller. */
 export class UnfinishedJobResolver {
+  private pendingPeerQuestions = 0;
+
   constructor(
     private readonly dependencies: Pick<Dependencies, 'log' | 'peers' | 'settings'>,
     private readonly peerMonitor: PeerMonitor,
@@ -82,17 +94,17 @@
     private readonly workerInspector: WorkerInspector,
   ) {}
 
-  /** The job's view, at most the permitted lag old; null if no source tells. */
-  async resolve(job: UnfinishedJob): Promise<JobView | null> {
-    const { source, view } = await Promise.race([
+  /** Finds the job's view, within a bounded time. */
+  async resolve(job: UnfinishedJob): Promise<Resolution> {
+    const resolution = await Promise.race([
       this.findSource(job, decodeJob(job.record)),
       sleep(RESOLUTION_TIMEOUT_MS).then(() => UNRESOLVED),
     ]);
     this.dependencies.log.debug(
-      { jobId: job.id, source, status: view?.status },
+      { jobId: job.id, source: resolution.source, status: resolution.view?.status },
       'unfinished job looked up in the store',
     );
-    return view;
+    return resolution;
   }
 
   private async findSource(job: UnfinishedJob, record: JobRecord | null): Promise<Resolution> {
@@ -110,16 +122,12 @@
 
   private async readLedger(job: UnfinishedJob, record: JobRecord | null): Promise<Resolution> {
     const idleView = { ...viewOfIdleJob(job.id, record), waiting: NO_LEADER_TEXT };
-    switch (await this.placedJobs.includes(job.id)) {
-      case true:
-        return this.askWorkers(job, record);
-      case false:
-        return { source: 'ledger', view: idleView };
-      case null:
-        return record && this.isJustAccepted(record)
-          ? { source: 'acceptance', view: idleView }
-          : UNRESOLVED;
-    }
+    const finding = await this.placedJobs.find(job.id);
+    if (finding?.isNamed) return this.askWorkers(job, record);
+    if (finding) return { source: 'ledger', view: idleView, asOf: finding.asOf };
+    return record && this.isJustAccepted(record)
+      ? { source: 'acceptance', view: idleView }
+      : UNRESOLVED;
   }
 
   /** Asks the leader directly, or through the store if it does not answer. */
@@ -140,9 +148,10 @@
       case 'unknown':
         return UNRESOLVED;
       case 'unanswered': {
-        const progress = await this.progressReader.progressOf(id);
-        const view = progress && viewOfProgress(progress, record);
-        return { source: 'progress-snapshot', view };
+        const finding = await this.progressReader.find(id);
+        if (!finding) return UNRESOLVED;
+        const view = viewOfProgress(finding.progress, record);
+        return { source: 'progress-snapshot', view, asOf: finding.asOf };
       }
     }
   }
@@ -154,10 +163,13 @@
   ): Promise<Resolution> {
     const view = await this.viewByWorkers(id, record);
     if (view) return { source: 'worker', view };
+    if (this.pendingPeerQuestions >= MAX_PENDING_PEER_QUESTIONS) return UNRESOLVED;
+    this.pendingPeerQuestions += 1;
     const peers = [...this.dependencies.peers.values()];
     const answers = await Promise.all(
       peers.map((peer) => requestRecordedJobView(peer, id, stored)),
     );
+    this.pendingPeerQuestions -= 1;
     const answer = answers.find(({ kind }) => kind === 'viewed');
     return answer?.kind === 'viewed' ? { source: 'peer', view: answer.job } : UNRESOLVED;
   }
--- a/test/job-status.test.ts
+++ b/test/job-status.test.ts
@@ -5,12 +5,24 @@
 import { afterEach, describe, expect, it, vi } from 'vitest';
 import { MAX_STATE_LAG_MS } from '../src/core/lifecycle/job-view.js';
 import type { Heartbeat } from '../src/core/model/heartbeat.js';
-import type { JobId, MachineId, NodeId, Revision } from '../src/core/model/ids.js';
-import type { Change, KeyValueStore, WatchResult } from '../src/ports/key-value-store.js';
+import type { JobId, MachineId, NodeId, Revision, TeamName } from '../src/core/model/ids.js';
+import type {
+  Change,
+  GetResult,
+  KeyValueStore,
+  WatchResult,
+} from '../src/ports/key-value-store.js';
+import type { Dependencies } from '../src/service/dependencies.js';
 import { PlacedJobs } from '../src/service/job-progress/placed-jobs.js';
 import { ProgressReader } from '../src/service/job-progress/progress-reader.js';
 import { WorkerInspector } from '../src/service/job-progress/worker-inspector.js';
-import { encodeProgressSnapshot, encodeSegment } from '../src/service/stored-records.js';
+import { JobService } from '../src/service/jobs/job-service.js';
+import type { PeerMonitor } from '../src/service/peers/peer-monitor.js';
+import {
+  encodeCompletion,
+  encodeProgressSnapshot,
+  encodeSegment,
+} from '../src/service/stored-records.js';
 import {
   type ClusterNode,
   type ClusterOptions,
@@ -233,7 +245,7 @@
     return { reader, writes, pageCount: pages.length };
   };
   const statusOf = async (reader: ProgressReader, id: string) =>
-    (await reader.progressOf(id as JobId))?.status ?? null;
+    (await reader.find(id as JobId))?.progress.status ?? null;
 
   it('takes a snapshot in pages that answers its request', async () => {
     const { reader, writes, pageCount } = readerOf('life-2', 1, 12);
@@ -281,9 +293,9 @@
       () => [{ key: 'l/7/1', value: segmentOf('job-1'), revision: REVISION }],
     );
     const placed = new PlacedJobs({ batchStore: store });
-    expect(await placed.includes('job-1' as JobId)).toBe(true);
-    expect(await placed.includes('job-2' as JobId)).toBe(true);
-    expect(await placed.includes('job-3' as JobId)).toBe(false);
+    expect((await placed.find('job-1' as JobId))?.isNamed).toBe(true);
+    expect((await placed.find('job-2' as JobId))?.isNamed).toBe(true);
+    expect((await placed.find('job-3' as JobId))?.isNamed).toBe(false);
   });
 
   it('are not known while a record is unreadable, or the store does not answer', async () => {
@@ -291,9 +303,38 @@
       () => [],
       () => [{ key: 'l/7/1', value: { odd: true }, revision: REVISION }],
     );
-    expect(await new PlacedJobs({ batchStore: odd.store }).includes('job-1' as JobId)).toBeNull();
+    expect(await new PlacedJobs({ batchStore: odd.store }).find('job-1' as JobId)).toBeNull();
     const silent = { ...odd.store, watch: async () => ({ kind: 'refused' as const }) };
-    expect(await new PlacedJobs({ batchStore: silent }).includes('job-1' as JobId)).toBeNull();
+    expect(await new PlacedJobs({ batchStore: silent }).find('job-1' as JobId)).toBeNull();
+  });
+});
+
+describe('a job that ends while the ledger is read', () => {
+  // Guards against: a job called queued since the ledger, read after its record, no longer names it.
+  it('is reported as ended, though its record was read before', async () => {
+    const { store } = storeWith(() => []);
+    const completion = encodeCompletion({ outcome: 'done', tasks: 1, team: 'blue' as TeamName });
+    let isRecordRead = false;
+    const get = async (key: string): Promise<GetResult> => {
+      const value = key.startsWith('f/') ? completion : { odd: true };
+      if (key.startsWith('j/') && isRecordRead) return { kind: 'absent' };
+      isRecordRead = true;
+      return { kind: 'found', item: { key, value, revision: REVISION } };
+    };
+    const dependencies = {
+      store: { ...store, get },
+      batchStore: store,
+      log,
+      peers: new Map(),
+      settings: { maxClockOffsetMs: 0 },
+      workers: {},
+    } as unknown as Dependencies;
+    const peerMonitor = { leaderPeer: () => null } as unknown as PeerMonitor;
+    const jobs = new JobService(dependencies, peerMonitor, () => null, 'life-1');
+    expect(await jobs.lookUp(RUNNING as JobId)).toMatchObject({
+      kind: 'found',
+      job: { status: 'done' },
+    });
   });
 });
 
