--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -12,7 +12,7 @@
   isLight: true,
   boot: () => 1500,
   runMs: () => 40_000,
-  capacity: { 'octa-tiler/westlands/spot': 260, 'octa-tiler/westlands/ordinary': 40 },
+  capacity: { 'octa-tiler/westlands/spot': 263, 'octa-tiler/westlands/ordinary': 37 },
   machines: Array.from({ length: 31 }, () => ({ hull: 'octa-tiler', yard: 'westlands', loaners: false })),
   params: {
     teams: [
--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -18,11 +18,14 @@
   types: [
     {
       Label: 'quad-reader', Cpus: 4, Accelerators: 0, MemoryGb: 16, CacheGb: 70, FetchGbPerS: 0.5,
-      Price: 0.25, SpotPrice: 0.07, StartupS: 15, Yards: ['fukuoka-east', 'kumamoto-south'],
+      Price: 0.25, SpotPrice: 0.07, StartupS: 15, Yards: ['fukuoka-east', 'kumamoto-south', 'kagoshima-bay'],
     },
   ],
   machines: Array.from({ length: MACHINES }, (_, i) => ({
-    hull: 'quad-reader', yard: i % 2 ? 'fukuoka-east' : 'kumamoto-south', loaners: true,
+    hull: 'quad-reader',
+    // As many in each zone as the site file has room for: 5, 4 and 4.
+    yard: i < 5 ? 'fukuoka-east' : i < 9 ? 'kumamoto-south' : 'kagoshima-bay',
+    loaners: true,
   })),
   params: {
     zones: ['fukuoka-east', 'kumamoto-south'],
--- a/review/lib-2/world.mjs
+++ b/review/lib-2/world.mjs
@@ -17,10 +17,13 @@
     server.listen(0, '127.0.0.1', () => resolve(`127.0.0.1:${server.address().port}`));
   });
 
-/** A free port below those that systems commonly give to outgoing connections. */
+let lastPort = 10_000 + (process.pid % 200) * 100;
+
+/** A free port below those for outgoing connections; runs beside one another use other ranges. */
 export const freePort = async () => {
   for (;;) {
-    const port = 10_000 + Math.floor(Math.random() * 20_000);
+    lastPort = lastPort < 29_999 ? lastPort + 1 : 10_000;
+    const port = lastPort;
     const server = net.createServer();
     const isFree = await new Promise((resolve) => {
       server.once('error', () => resolve(false));
@@ -757,8 +760,11 @@
     }
     for (const machine of this.options.machines ?? [])
       this.cloud.rent(machine.hull, machine.yard, machine.loaners, 1);
-    for (const node of this.nodes) await this.until(() => this.isUp(node), 30_000);
-    await this.until(() => this.leader(), 30_000);
+    // A case whose controllers do not come up could not run: it says nothing about the rule.
+    for (const node of this.nodes)
+      if (!(await this.until(() => this.isUp(node), 30_000)) || node.child.exitCode !== null)
+        throw new Error(`${node.name} did not come up: ${node.logs.slice(-300)}`);
+    if (!(await this.until(() => this.leader(), 20_000))) throw new Error('no leader at the start');
     this.recorder.write(`controllers are up, leader ${this.leader().name}`);
   }
   isUp(node) {
