Attempts take under half the memory, and the memory bounds how many are placed

Cause: one attempt took 717 bytes of heap in a leader of 300 machines' size, 740 in a successor while it read the ledger, and 277 in a follower that received the heartbeats; nothing held the number of attempts below what the heap has room for. By kind: the decoded tasks of each machine's last heartbeat and the JSON objects they came from (kept twice, for the parser's cache and for the hints whom to ask), a ledger entry with the job's fields in each attempt, a list for each task's single attempt, and times as heap numbers.

Change: the parser's cache keeps three numbers a task; hints keep only which jobs run; entries share their job's part; a list exists only for a task with several attempts; times are whole milliseconds; the ledger is decoded page by page. A dynamic threshold and a share for first tasks keep room for other jobs; users are told `controllers cannot track more tasks`; no machine is provisioned that would stay empty.

--- a/src/adapters/key-value-store/key-value-store-client.ts
+++ b/src/adapters/key-value-store/key-value-store-client.ts
@@ -118,14 +118,19 @@
   }
 
   /** Returns the first page's revision, so that a watch from it misses no change of any page. */
-  async listAll(prefix: string): Promise<ListResult> {
-    const items: StoredItem[] = [];
+  async listAll<T = StoredItem>(
+    prefix: string,
+    decode: (item: StoredItem) => T = (item) => item as T,
+  ): Promise<ListResult<T>> {
+    const items: T[] = [];
+    let lastKey: string | undefined;
     let revision: Revision | null = null;
     for (;;) {
-      const page = await this.list(prefix, items.at(-1)?.key, PAGE_SIZE);
+      const page = await this.list(prefix, lastKey, PAGE_SIZE);
       if (page.kind !== 'page') return page;
       revision ??= page.revision;
-      items.push(...page.items);
+      lastKey = page.items.at(-1)?.key;
+      for (const item of page.items) items.push(decode(item));
       if (!page.hasMore || page.items.length === 0) return { kind: 'listed', items, revision };
     }
   }
--- a/src/adapters/wire/workers.ts
+++ b/src/adapters/wire/workers.ts
@@ -99,20 +99,42 @@
   };
 };
 
-/**
- * Whether two wire tasks decode alike. `===` suffices, since `decodeTask` reads only primitive
- * values.
- */
-export const isSameTask = (raw: unknown, previous: Record<string, unknown>): boolean => {
-  if (typeof raw !== 'object' || raw === null) return false;
-  const task = raw as Record<string, unknown>;
-  return (
-    task.Piece === previous.Piece &&
-    task.Try === previous.Try &&
-    task.Status === previous.Status &&
-    task.Cause === previous.Cause &&
-    task.Stored === previous.Stored
-  );
+/** The fields of a wire task that change while it is on its machine. */
+export interface WireTaskState {
+  readonly Status: unknown;
+  readonly Cause: unknown;
+  readonly Stored: unknown;
+}
+
+/** The state of a wire task that `decodeTask` accepts; its fields are primitive values. */
+export const wireTaskState = ({
+  Status,
+  Cause,
+  Stored,
+}: Record<string, unknown>): WireTaskState => ({ Status, Cause, Stored });
+
+/** Whether a wire task is in this state. */
+export const isSameTaskState = (raw: Record<string, unknown>, state: WireTaskState): boolean =>
+  raw.Status === state.Status && raw.Cause === state.Cause && raw.Stored === state.Stored;
+
+const SLASH = '/'.charCodeAt(0);
+const DIGIT_0 = '0'.charCodeAt(0);
+const MAX_INDEX_DIGITS = 9;
+
+/** Whether a wire task's `Piece` decodes to this job and index; allocates nothing. */
+export const isSamePiece = (piece: unknown, job: JobId, index: number): boolean => {
+  if (typeof piece !== 'string' || !piece.startsWith(job)) return false;
+  if (piece.charCodeAt(job.length) !== SLASH) return false;
+  const firstDigit = job.length + 1;
+  const digits = piece.length - firstDigit;
+  if (digits < 1 || digits > MAX_INDEX_DIGITS) return false;
+  let value = 0;
+  for (let i = firstDigit; i < piece.length; i += 1) {
+    const digit = piece.charCodeAt(i) - DIGIT_0;
+    if (digit < 0 || digit > 9) return false;
+    value = value * 10 + digit;
+  }
+  return value === index;
 };
 
 /** Encodes commands for a worker, in order. */
--- a/src/adapters/workers/heartbeat-parser.ts
+++ b/src/adapters/workers/heartbeat-parser.ts
@@ -1,12 +1,7 @@
 /** Parses workers' heartbeats, decoding only the tasks that have changed since the last one. */
 import type { Heartbeat, TaskStatus } from '../../core/model/heartbeat.js';
-import { decodeHeartbeat, decodeTask, isSameTask, parseWireHeartbeat } from '../wire/workers.js';
-
-/** A task as received in a heartbeat, and its decoded form. */
-interface DecodedTask {
-  readonly raw: Record<string, unknown>;
-  readonly task: TaskStatus;
-}
+import { decodeHeartbeat, decodeTask, parseWireHeartbeat } from '../wire/workers.js';
+import { TaskCache, TaskStates } from './task-cache.js';
 
 /**
  * The last tasks of every machine are cached, whatever the size of the fleet, and evicted if it
@@ -20,9 +15,11 @@
 
 /** Parses heartbeats and caches the tasks of each machine's last one. */
 export class HeartbeatParser {
+  private readonly states = new TaskStates();
+  private readonly noTasks = new TaskCache(this.states);
   /** Last tasks of the machines that reported in this round, and in the previous one. */
-  private current = new Map<string, readonly DecodedTask[]>();
-  private previous = new Map<string, readonly DecodedTask[]>();
+  private current = new Map<string, TaskCache>();
+  private previous = new Map<string, TaskCache>();
   private heartbeatsInRound = 0;
 
   /** Number of tasks decoded so far; all others were found in the cache. */
@@ -33,36 +30,38 @@
     const wire = parseWireHeartbeat(body);
     if (!wire) return null;
     const { Berth: machine } = wire;
-    const last = this.current.get(machine) ?? this.previous.get(machine) ?? [];
-    const decoded = this.decodeTasks(wire.Pieces ?? [], last);
-    if (!decoded) return null;
-    this.cacheTasks(machine, decoded);
-    return decodeHeartbeat(
-      wire,
-      decoded.map(({ task }) => task),
-    );
+    const last = this.current.get(machine) ?? this.previous.get(machine) ?? this.noTasks;
+    const cache = new TaskCache(this.states);
+    const tasks = this.decodeTasks(wire.Pieces ?? [], last, cache);
+    if (!tasks) return null;
+    this.cacheTasks(machine, cache.size > 0 ? cache : this.noTasks);
+    return decodeHeartbeat(wire, tasks);
   }
 
   /**
-   * Decodes the tasks of a heartbeat; null if one is malformed. Workers list their tasks in a
-   * stable order, new ones last, so one pass over the last heartbeat finds all unchanged tasks.
+   * Decodes the tasks of a heartbeat and adds them to `cache`; null if one is malformed. Workers
+   * list their tasks in a stable order, new ones last, so one pass over the last heartbeat finds
+   * all unchanged tasks.
    */
   private decodeTasks(
     entries: readonly unknown[],
-    last: readonly DecodedTask[],
-  ): DecodedTask[] | null {
-    const decoded: DecodedTask[] = [];
+    last: TaskCache,
+    cache: TaskCache,
+  ): TaskStatus[] | null {
+    const tasks: TaskStatus[] = [];
     let next = 0;
     let newTasks = 0;
     for (const raw of entries) {
-      let position = newTasks < MAX_NEW_TASKS ? next : last.length;
-      let known = last[position];
-      while (known !== undefined && !isSameTask(raw, known.raw)) {
+      let position = newTasks < MAX_NEW_TASKS ? next : last.size;
+      let known: TaskStatus | null = null;
+      while (position < last.size) {
+        known = last.match(raw, position);
+        if (known) break;
         position += 1;
-        known = last[position];
       }
-      if (known !== undefined) {
-        decoded.push(known);
+      if (known) {
+        cache.addFrom(last, position, known);
+        tasks.push(known);
         next = position + 1;
         continue;
       }
@@ -70,12 +69,13 @@
       this.decodedTaskCount += 1;
       const task = decodeTask(raw);
       if (!task) return null;
-      decoded.push({ raw: raw as Record<string, unknown>, task });
+      cache.add(raw as Record<string, unknown>, task);
+      tasks.push(task);
     }
-    return decoded;
+    return tasks;
   }
 
-  private cacheTasks(machine: string, tasks: readonly DecodedTask[]): void {
+  private cacheTasks(machine: string, tasks: TaskCache): void {
     this.current.set(machine, tasks);
     this.heartbeatsInRound += 1;
     const roundLength = Math.max(
--- a/src/core/apply-commands.ts
+++ b/src/core/apply-commands.ts
@@ -34,6 +34,8 @@
 const TICK_MS = 500;
 /** Interval of rounds without an event: some scores change with time alone. */
 const ROUND_EVERY_MS = 2000;
+/** A round may place 100,000 tasks, of which a log event names the first. */
+const MAX_LOGGED_PLACEMENTS = 100;
 /** Delay from recovery to the first round, in nominal heartbeat intervals; covers the longest. */
 const REPORT_WAIT_INTERVALS = 1.3;
 
@@ -116,7 +118,10 @@
   if (placements.length === 0) return;
   logEvent(effects, 'debug', 'tasks placed', {
     queueHead: state.queueHead,
-    tasks: placements.map(({ entry, machine }) => `${entry.job}/${entry.index}@${machine.id}`),
+    taskCount: placements.length,
+    tasks: placements
+      .slice(0, MAX_LOGGED_PLACEMENTS)
+      .map(({ entry, machine }) => `${entry.job}/${entry.index}@${machine.id}`),
   });
 };
 
--- a/src/core/core-state.ts
+++ b/src/core/core-state.ts
@@ -46,6 +46,8 @@
   readonly maxValueBytes: number;
   /** Maximum number of attempts on one machine, which bounds the size of its heartbeats. */
   readonly maxAttemptsPerMachine: number;
+  /** Memory that this state may take, in bytes; it bounds the number of attempts. */
+  readonly maxStateBytes: number;
   /** Wall-clock time, in milliseconds since the epoch, at which the steady clock was 0. */
   readonly wallClockOffsetMs: number;
 }
@@ -79,6 +81,8 @@
   readonly recentlyEndedJobs: Map<JobId, Instant>;
   /** Resources used by each team's attempts that may be on a machine. */
   readonly teamUsage: Map<TeamName, { cpus: number; gpus: number }>;
+  /** Number of attempts that may be on machines. */
+  attemptCount: number;
   /** How many attempt ids this leader has assigned. */
   nextAttemptOffset: number;
   /** Machines whose last heartbeat has not been replied to. */
@@ -153,6 +157,7 @@
   jobs: new Map(),
   recentlyEndedJobs: new Map(),
   teamUsage: new Map(),
+  attemptCount: 0,
   nextAttemptOffset: 0,
   machinesAwaitingReply: new Set(),
   queueHead: null,
--- a/src/core/fleet/scale-out.ts
+++ b/src/core/fleet/scale-out.ts
@@ -10,6 +10,7 @@
 import { isService } from '../model/job.js';
 import type { MachineType } from '../model/machine.js';
 import type { Instant } from '../model/time.js';
+import { countFreeAttempts } from '../scheduling/attempt-room.js';
 import {
   countTasksWithinQuota,
   isFeasible,
@@ -211,6 +212,8 @@
   // Before the machine list has been read, requests could duplicate those of a former leader.
   if (!state.hasReadMachineList) return [];
   expireProvisionRequests(state, now);
+  // Further machines would stay empty.
+  if (countFreeAttempts(state) <= 0) return [];
   const context: ScaleOutContext = {
     state,
     now,
--- a/src/core/ledger/segment-draft.ts
+++ b/src/core/ledger/segment-draft.ts
@@ -1,6 +1,7 @@
 /** Construction of a ledger segment, which accepts attempts and progress until it is full. */
 
 import type { CoreState } from '../core-state.js';
+import { toPlainEntry } from '../model/attempt-entry.js';
 import type { Job, LedgerSegment, Placement, ProgressChunk } from '../model/entities.js';
 import type { JobId, MachineId, SegmentKey } from '../model/ids.js';
 import type {
@@ -51,7 +52,7 @@
     if (!this.reserve(this.placementBytes(placement))) return false;
     const { entry } = placement;
     this.jobs.add(entry.job);
-    this.getOrCreateMachineRow(placement).entries.push(entry);
+    this.getOrCreateMachineRow(placement).entries.push(toPlainEntry(entry));
     detachPlacement(this.state, placement);
     placement.segment = this.segment;
     this.segment.placements.add(placement);
--- a/src/core/lifecycle/attempts.ts
+++ b/src/core/lifecycle/attempts.ts
@@ -89,14 +89,8 @@
 };
 
 const addToJob = (job: Job, placement: Placement): void => {
-  const { index } = placement.entry;
-  const attempts = job.attemptsByTask.get(index);
-  if (attempts) {
-    attempts.push(placement);
-  } else {
-    job.attemptsByTask.set(index, [placement]);
-    if (!isTaskDone(job, index)) job.pendingTasks -= 1;
-  }
+  const isFirst = job.attemptsByTask.add(placement);
+  if (isFirst && !isTaskDone(job, placement.entry.index)) job.pendingTasks -= 1;
   addToZone(job, placement.machine.zone);
 };
 
@@ -105,12 +99,7 @@
   const { index } = placement.entry;
   if (placement.isSuperseded) job.supersededAttempts -= 1;
   removeFromZone(job, placement.machine.zone);
-  const remaining = (job.attemptsByTask.get(index) ?? []).filter((other) => other !== placement);
-  if (remaining.length > 0) {
-    job.attemptsByTask.set(index, remaining);
-    return;
-  }
-  job.attemptsByTask.delete(index);
+  if (!job.attemptsByTask.remove(placement)) return;
   if (job.attemptsByTask.size === 0) job.idleSince = now;
   if (isTaskDone(job, index)) return;
   job.pendingTasks += 1;
@@ -121,6 +110,7 @@
 export const addPlacement = (state: CoreState, placement: Placement): void => {
   const { entry, machine, job } = placement;
   machine.placements.set(entry.attempt, placement);
+  state.attemptCount += 1;
   addMachineUsage(machine, entry);
   addTeamUsage(state, entry);
   if (job) addToJob(job, placement);
@@ -139,6 +129,7 @@
   if (!occupiesMachine(placement.phase)) return;
   state.extensions?.observe({ kind: 'released', attempt: placement, release });
   placement.phase = 'ended';
+  state.attemptCount -= 1;
   state.awaitingLedgerEntry.delete(placement);
   detachPlacement(state, placement);
   subtractTeamUsage(state, entry);
--- a/src/core/lifecycle/job-cancellation.ts
+++ b/src/core/lifecycle/job-cancellation.ts
@@ -11,8 +11,7 @@
 
 const machinesOf = (job: Job): Set<Machine> => {
   const machines = new Set<Machine>();
-  for (const placements of job.attemptsByTask.values())
-    for (const placement of placements) machines.add(placement.machine);
+  for (const { machine } of job.attemptsByTask.placements()) machines.add(machine);
   return machines;
 };
 
@@ -21,9 +20,8 @@
  * An earlier kill request without grace is kept, so that it is not repeated too soon.
  */
 export const killAllAttempts = (job: Job, now: Instant, effects: Effect[]): void => {
-  for (const placements of job.attemptsByTask.values())
-    for (const placement of placements)
-      if (placement.stopRequest?.graceS !== 0) requestImmediateKill(placement);
+  for (const placement of job.attemptsByTask.placements())
+    if (placement.stopRequest?.graceS !== 0) requestImmediateKill(placement);
   for (const machine of machinesOf(job)) dispatchKills(machine, now, effects);
 };
 
--- a/src/core/lifecycle/job-tasks.ts
+++ b/src/core/lifecycle/job-tasks.ts
@@ -5,6 +5,7 @@
 import type { Job, ProgressChunk } from '../model/entities.js';
 import type { TaskIndex } from '../model/ids.js';
 import { isService, type JobSpec } from '../model/job.js';
+import { TaskAttempts } from '../model/task-attempts.js';
 import type { Instant } from '../model/time.js';
 
 /** Tasks per block (a large chunk). Records name blocks by number, small chunks by first task. */
@@ -41,7 +42,7 @@
   nextUnplacedTask: 0,
   requeuedTasks: [],
   pendingTasks: spec.tasks,
-  attemptsByTask: new Map(),
+  attemptsByTask: new TaskAttempts(),
   attemptsByZone: new Map(),
   failedMachines: new Set(),
   retryAt: 0 as Instant,
@@ -65,8 +66,7 @@
 export const failsEverywhere = (job: Job): boolean => {
   if (!isService(job)) return job.failedMachines.size >= FAILED_MACHINES_LIMIT;
   if (job.consecutiveFailures < FAILED_MACHINES_LIMIT) return false;
-  for (const placements of job.attemptsByTask.values())
-    if (placements.some((placement) => placement.phase === 'running')) return false;
+  for (const { phase } of job.attemptsByTask.placements()) if (phase === 'running') return false;
   return true;
 };
 
--- a/src/core/lifecycle/job-view.ts
+++ b/src/core/lifecycle/job-view.ts
@@ -116,8 +116,8 @@
   if (running > 0) return 'running';
   // An unreadable segment may hold attempts of any job.
   if (state.unreadableSegments.size > 0) return null;
-  for (const placements of job.attemptsByTask.values())
-    if (placements.some((placement) => mayRunUnreported(state, placement, now))) return null;
+  for (const placement of job.attemptsByTask.placements())
+    if (mayRunUnreported(state, placement, now)) return null;
   return 'queued';
 };
 
@@ -215,10 +215,9 @@
 export const viewReportedJob = (state: CoreState, id: JobId, now: Instant): CoreJobView | null => {
   const job = state.jobs.get(id);
   if (!job) return null;
-  for (const placements of job.attemptsByTask.values())
-    for (const placement of placements)
-      if (isRunning(placement) && !isSilent(state, placement.machine, now))
-        return viewListedJob(state, job, now);
+  for (const placement of job.attemptsByTask.placements())
+    if (isRunning(placement) && !isSilent(state, placement.machine, now))
+      return viewListedJob(state, job, now);
   return null;
 };
 
--- a/src/core/lifecycle/task-reconciliation.ts
+++ b/src/core/lifecycle/task-reconciliation.ts
@@ -5,13 +5,14 @@
 
 import type { CoreState } from '../core-state.js';
 import { logEvent } from '../log-event.js';
+import { AttemptEntry, type TaskRequest } from '../model/attempt-entry.js';
 import type { Effect } from '../model/effect.js';
 import type { Job, LedgerSegment, Machine, Placement } from '../model/entities.js';
 import type { Heartbeat, TaskStatus } from '../model/heartbeat.js';
-import type { TeamName } from '../model/ids.js';
+import type { JobId, TeamName } from '../model/ids.js';
 import { isService } from '../model/job.js';
 import type { LedgerEntry } from '../model/ledger-record.js';
-import { addMillis, type Instant, type Millis, seconds } from '../model/time.js';
+import { addMillis, type Instant, type Millis, seconds, wholeMillis } from '../model/time.js';
 import { addPlacement, releasePlacement, requestImmediateKill } from './attempts.js';
 import type { HeartbeatEvidence } from './heartbeat-evidence.js';
 import { markTaskDone } from './job-completion.js';
@@ -42,7 +43,7 @@
     entry,
     machine,
     job,
-    placedAt: now,
+    placedAt: wholeMillis(now),
     phase: 'unconfirmed',
     startedAt: null,
     dispatchedEpoch: null,
@@ -56,6 +57,15 @@
   return placement;
 };
 
+/** The request of a job that is unknown: nothing of it can be counted. */
+const unknownRequest = (id: JobId): TaskRequest => ({
+  id,
+  team: '' as TeamName,
+  cpus: 0,
+  gpus: 0,
+  memoryGb: 0,
+});
+
 /**
  * Adds an attempt known only from a heartbeat, and queues its ledger entry. It is killed if its
  * task has another attempt or is done already, since no task may run twice.
@@ -66,16 +76,8 @@
   task: TaskStatus,
   now: Instant,
 ): Placement => {
-  const spec = state.jobs.get(task.job)?.spec;
-  const entry: LedgerEntry = {
-    job: task.job,
-    index: task.index,
-    attempt: task.attempt,
-    team: spec?.team ?? ('' as TeamName),
-    cpus: spec?.cpus ?? 0,
-    gpus: spec?.gpus ?? 0,
-    memoryGb: spec?.memoryGb ?? 0,
-  };
+  const request = state.jobs.get(task.job)?.spec ?? unknownRequest(task.job);
+  const entry = new AttemptEntry(request, task.index, task.attempt);
   const placement = recoverPlacement(state, machine, entry, now, null);
   const { job } = placement;
   const hasOtherAttempts = (job?.attemptsByTask.get(entry.index) ?? []).length > 1;
@@ -103,7 +105,7 @@
 ): void => {
   const { job, machine } = placement;
   if (phase === 'running' && placement.startedAt === null) {
-    placement.startedAt = now;
+    placement.startedAt = wholeMillis(now);
     if (job && isService(job)) logReplicaRunning(placement, now, effects);
   }
   placement.phase = phase;
--- a/src/core/model/entities.ts
+++ b/src/core/model/entities.ts
@@ -11,12 +11,12 @@
   ProvisionRequestId,
   ReplyTicket,
   SegmentKey,
-  TaskIndex,
   ZoneName,
 } from './ids.js';
 import type { JobSpec, TerminalState } from './job.js';
 import type { LedgerEntry } from './ledger-record.js';
 import type { MachineType } from './machine.js';
+import type { TaskAttempts } from './task-attempts.js';
 import type { Instant } from './time.js';
 
 /** An attempt at running a task on a machine. */
@@ -25,10 +25,10 @@
   readonly machine: Machine;
   /** null if the job has ended or is unknown: the attempt is then only counted and killed. */
   readonly job: Job | null;
-  /** When this leader placed or first discovered it. */
+  /** When this leader placed or first discovered it, in whole milliseconds. */
   readonly placedAt: Instant;
   phase: AttemptPhase;
-  /** When it was first reported as running; null before. */
+  /** When it was first reported as running, in whole milliseconds; null before. */
   startedAt: Instant | null;
   /** The agent epoch in which its start was sent; null before. */
   dispatchedEpoch: number | null;
@@ -91,7 +91,7 @@
   /** Number of tasks waiting for a machine. */
   pendingTasks: number;
   /** Attempts that may be on a machine, by task. */
-  readonly attemptsByTask: Map<TaskIndex, Placement[]>;
+  readonly attemptsByTask: TaskAttempts<Placement>;
   /** Number of attempts that may be on machines, by zone. */
   readonly attemptsByZone: Map<ZoneName, number>;
   /** Machines on which its tasks failed since the last success. */
--- a/src/core/scheduling/backfill.ts
+++ b/src/core/scheduling/backfill.ts
@@ -13,6 +13,7 @@
 import type { Job, Placement } from '../model/entities.js';
 import { isService, PRIORITY_LEVEL } from '../model/job.js';
 import { type Instant, seconds } from '../model/time.js';
+import { countAttemptsWithinMemory } from './attempt-room.js';
 import {
   countTasksWithinQuota,
   type FreeCapacity,
@@ -23,12 +24,12 @@
   type SmallestRequirement,
 } from './capacity.js';
 import {
+  explainLimit,
   NO_LIMITS,
   NO_MACHINE_REASON,
   type PlacementLimits,
   type PlacementResult,
   placeJob,
-  TEAM_QUOTA_REASON,
 } from './placement.js';
 import { preemptForHead, preemptForReplicas } from './preemption.js';
 import { isFirstTaskOverdue, rankWaitingJobs } from './ranking.js';
@@ -77,9 +78,13 @@
   return result;
 };
 
-/** How many of the job's pending tasks the team's quota would still allow. */
-const countUnplacedWithinQuota = (state: CoreState, job: Job): number =>
-  Math.min(job.pendingTasks, countTasksWithinQuota(state, job));
+/** How many of the job's pending tasks the team's quota and the memory would still allow. */
+const countUnplacedWithinLimits = (state: CoreState, job: Job): number =>
+  Math.min(
+    job.pendingTasks,
+    countTasksWithinQuota(state, job),
+    countAttemptsWithinMemory(state, job),
+  );
 
 /**
  * Whether the job may be queue head. A job that fails everywhere may not: aging would make it head
@@ -108,7 +113,7 @@
   for (const { job } of criticalServices) {
     const result = placeInRound(context, job, filterUsable(capacities, smallest), NO_LIMITS);
     job.waitingReason = result.waitingReason;
-    const unplaced = countUnplacedWithinQuota(state, job);
+    const unplaced = countUnplacedWithinLimits(state, job);
     if (unplaced > 0 && !failsEverywhere(job)) preemptForReplicas(job, unplaced, capacities, now);
   }
   // Reserves the new replicas' machines, so that no array's image is fetched there meanwhile.
@@ -145,7 +150,7 @@
   if (!queueHead) return;
   const result = placeInRound(context, queueHead, context.usable, NO_LIMITS);
   queueHead.waitingReason = result.waitingReason;
-  const unplaced = countUnplacedWithinQuota(state, queueHead);
+  const unplaced = countUnplacedWithinLimits(state, queueHead);
   if (unplaced <= 0) return;
   if (mayPreempt(state, queueHead, now)) preemptForHead(queueHead, unplaced, capacities, now);
   state.shadowTime = reserveForHead(queueHead, unplaced, capacities, now);
@@ -156,7 +161,7 @@
   !spec.singleZone && !spec.spreadZones && failedMachines.size === 0;
 
 const explainUnplaced = (state: CoreState, job: Job): string =>
-  countTasksWithinQuota(state, job) < 1 ? TEAM_QUOTA_REASON : NO_MACHINE_REASON;
+  explainLimit(state, job) ?? NO_MACHINE_REASON;
 
 /** Backfills the other jobs by rank, without delaying the queue head's reservation. */
 const backfillOthers = (context: RoundContext): void => {
--- a/src/core/scheduling/placement.ts
+++ b/src/core/scheduling/placement.ts
@@ -7,11 +7,12 @@
   hasUnusedAttemptNumber,
 } from '../lifecycle/attempts.js';
 import { failsEverywhere, takePendingTask } from '../lifecycle/job-tasks.js';
+import { AttemptEntry } from '../model/attempt-entry.js';
 import type { Job, Placement } from '../model/entities.js';
 import type { AttemptId, ZoneName } from '../model/ids.js';
 import { isService } from '../model/job.js';
-import type { LedgerEntry } from '../model/ledger-record.js';
-import type { Instant } from '../model/time.js';
+import { type Instant, wholeMillis } from '../model/time.js';
+import { countAttemptsWithinMemory } from './attempt-room.js';
 import {
   allocateFreeCapacity,
   compareByMachineSize,
@@ -34,6 +35,9 @@
 /** Waiting reason shown to users: no feasible machine has the capacity. */
 export const NO_MACHINE_REASON = 'no machine with room';
 
+/** Waiting reason shown to users: the controllers have no memory for more tasks at a time. */
+export const MEMORY_REASON = 'controllers cannot track more tasks';
+
 /** Limits on the placement of a job in one phase of a round. */
 export interface PlacementLimits {
   /** The shadow time of the head's reservation; null if there is none to respect. */
@@ -171,13 +175,11 @@
   const firstAttempt = state.config.fencingToken * ATTEMPTS_PER_REVISION;
   const attempt = (firstAttempt + state.nextAttemptOffset) as AttemptId;
   state.nextAttemptOffset += 1;
-  const { id, team, cpus, gpus, memoryGb } = job.spec;
-  const entry: LedgerEntry = { job: id, index, attempt, team, cpus, gpus, memoryGb };
   const placement: Placement = {
-    entry,
+    entry: new AttemptEntry(job.spec, index, attempt),
     machine: capacity.machine,
     job,
-    placedAt: now,
+    placedAt: wholeMillis(now),
     phase: 'persisting',
     startedAt: null,
     dispatchedEpoch: null,
@@ -193,6 +195,12 @@
   return placement;
 };
 
+/** The limit that leaves no further task of the job; null if the limits leave one. */
+export const explainLimit = (state: CoreState, job: Job): string | null => {
+  if (countTasksWithinQuota(state, job) < 1) return TEAM_QUOTA_REASON;
+  return countAttemptsWithinMemory(state, job) < 1 ? MEMORY_REASON : null;
+};
+
 /** The reason why no further task may start, regardless of free capacity; null if one may. */
 const explainRefusal = (
   state: CoreState,
@@ -201,7 +209,7 @@
 ): string | null => {
   // A job that fails everywhere runs one task at a time.
   if (isFailingEverywhere && job.attemptsByTask.size > 0) return 'its tasks fail on every machine';
-  return countTasksWithinQuota(state, job) < 1 ? TEAM_QUOTA_REASON : null;
+  return explainLimit(state, job);
 };
 
 const explainNoMachine = ({ isBlockedByReservation }: MachineSearch): string =>
--- a/src/core/scheduling/replica-spreading.ts
+++ b/src/core/scheduling/replica-spreading.ts
@@ -57,9 +57,8 @@
 
 const countReplicasByMachine = (job: Job): Map<Machine, number> => {
   const replicas = new Map<Machine, number>();
-  for (const attempts of job.attemptsByTask.values()) {
-    for (const { machine } of attempts) replicas.set(machine, (replicas.get(machine) ?? 0) + 1);
-  }
+  for (const { machine } of job.attemptsByTask.placements())
+    replicas.set(machine, (replicas.get(machine) ?? 0) + 1);
   return replicas;
 };
 
--- a/src/ports/key-value-store.ts
+++ b/src/ports/key-value-store.ts
@@ -24,8 +24,8 @@
   | StoreFailure;
 
 /** All keys under a prefix; a watch from the revision on delivers every later change. */
-export type ListResult =
-  | { readonly kind: 'listed'; readonly items: StoredItem[]; readonly revision: Revision }
+export type ListResult<T = StoredItem> =
+  | { readonly kind: 'listed'; readonly items: T[]; readonly revision: Revision }
   | StoreFailure;
 
 /** A put or a deletion of one key, at this revision. */
@@ -78,8 +78,11 @@
   /** Whether the store has stopped answering this node: callers need not wait for a time-out. */
   readonly isDown: boolean;
   get(key: string): Promise<GetResult>;
-  /** Lists all keys under a prefix, in pages. */
-  listAll(prefix: string): Promise<ListResult>;
+  /**
+   * Lists all keys under a prefix, in pages. `decode` converts each item as its page arrives, so
+   * that no more than a page is held as it was stored.
+   */
+  listAll<T = StoredItem>(prefix: string, decode?: (item: StoredItem) => T): Promise<ListResult<T>>;
   /**
    * Applies all mutations atomically if all preconditions hold. Waits up to `maxWaitMs` for the
    * rate limit and up to `timeoutMs` for the response.
--- a/src/service/job-progress/placed-jobs.ts
+++ b/src/service/job-progress/placed-jobs.ts
@@ -5,7 +5,7 @@
 import { steadyNow } from '../../adapters/runtime/clock.js';
 import type { JobId, Revision } from '../../core/model/ids.js';
 import type { Instant } from '../../core/model/time.js';
-import type { Change } from '../../ports/key-value-store.js';
+import type { Change, StoredItem } from '../../ports/key-value-store.js';
 import type { Dependencies } from '../dependencies.js';
 import { LEDGER_PREFIX, LEGACY_LEDGER_PREFIX, listPlacedJobs } from '../stored-records.js';
 
@@ -41,6 +41,12 @@
   return jobs;
 };
 
+/** A segment's key and its jobs, as in `JobsBySegment`. */
+const listSegmentJobs = ({ key, value }: StoredItem): [string, readonly JobId[] | null] => [
+  key,
+  listPlacedJobs(value),
+];
+
 const applyChanges = (segments: JobsBySegment, changes: readonly Change[]): void => {
   for (const change of changes) {
     if ('value' in change) segments.set(change.key, listPlacedJobs(change.value));
@@ -91,15 +97,13 @@
   private async readAll(): Promise<LedgerCopy | null> {
     const { batchStore } = this.dependencies;
     const [ledger, legacy] = await Promise.all([
-      batchStore.listAll(LEDGER_PREFIX),
+      batchStore.listAll(LEDGER_PREFIX, listSegmentJobs),
       batchStore.listAll(LEGACY_LEDGER_PREFIX),
     ]);
     if (ledger.kind !== 'listed' || legacy.kind !== 'listed') return null;
     // Legacy records are not decoded: they may name any job, until the leader deletes them.
     if (legacy.items.length > 0) return null;
-    const segments: JobsBySegment = new Map();
-    for (const { key, value } of ledger.items) segments.set(key, listPlacedJobs(value));
-    return this.readChanges({ segments, revision: ledger.revision });
+    return this.readChanges({ segments: new Map(ledger.items), revision: ledger.revision });
   }
 
   private async readChanges({
--- a/src/service/job-progress/worker-inspector.ts
+++ b/src/service/job-progress/worker-inspector.ts
@@ -17,9 +17,9 @@
 /** Bounds the processor time and the sockets that questions take. */
 const MAX_CONCURRENT_INSPECTIONS = 16;
 
-/** The last heartbeat that this node received from a machine. */
-interface Hint {
-  readonly heartbeat: Heartbeat;
+/** What the last heartbeat that this node received from a machine said; without its tasks. */
+interface Hint extends Pick<Heartbeat, 'machine' | 'endpoint' | 'agentEpoch' | 'sequence'> {
+  readonly runningJobs: ReadonlySet<JobId>;
   readonly receivedAt: Instant;
 }
 
@@ -29,17 +29,34 @@
   readonly heartbeat: Promise<Heartbeat | null>;
 }
 
-const isNewer = (one: Heartbeat, other: Heartbeat): boolean =>
+type MessageOrder = Pick<Heartbeat, 'agentEpoch' | 'sequence'>;
+
+const isNewer = (one: MessageOrder, other: MessageOrder): boolean =>
   one.agentEpoch === other.agentEpoch
     ? one.sequence > other.sequence
     : one.agentEpoch > other.agentEpoch;
 
-const countRunningTasks = ({ tasks }: Heartbeat, id: JobId): number => {
-  const runs = ({ job, phase }: TaskStatus) =>
-    job === id && (phase === 'running' || phase === 'checkpointing');
-  return tasks.filter(runs).length;
+const isRunning = ({ phase }: TaskStatus): boolean =>
+  phase === 'running' || phase === 'checkpointing';
+
+const countRunningTasks = ({ tasks }: Heartbeat, id: JobId): number =>
+  tasks.filter((task) => task.job === id && isRunning(task)).length;
+
+const findRunningJobs = ({ tasks }: Heartbeat): Set<JobId> => {
+  const jobs = new Set<JobId>();
+  for (const task of tasks) if (isRunning(task)) jobs.add(task.job);
+  return jobs;
 };
 
+const hintOf = (heartbeat: Heartbeat): Hint => ({
+  machine: heartbeat.machine,
+  endpoint: heartbeat.endpoint,
+  agentEpoch: heartbeat.agentEpoch,
+  sequence: heartbeat.sequence,
+  runningJobs: findRunningJobs(heartbeat),
+  receivedAt: steadyNow(),
+});
+
 /** Inspects workers on any controller. */
 export class WorkerInspector {
   /** The oldest first. */
@@ -53,9 +70,9 @@
   recordHint(heartbeat: Heartbeat): void {
     const { machine } = heartbeat;
     const known = this.hints.get(machine);
-    if (known && !isNewer(heartbeat, known.heartbeat)) return;
+    if (known && !isNewer(heartbeat, known)) return;
     this.hints.delete(machine);
-    this.hints.set(machine, { heartbeat, receivedAt: steadyNow() });
+    this.hints.set(machine, hintOf(heartbeat));
     this.dropOldHints();
   }
 
@@ -74,9 +91,9 @@
   async countRunning(id: JobId): Promise<number> {
     this.dropOldHints();
     let asked = 0;
-    for (const { heartbeat } of [...this.hints.values()].reverse()) {
-      if (countRunningTasks(heartbeat, id) === 0) continue;
-      const answer = await this.inspect(heartbeat);
+    for (const hint of [...this.hints.values()].reverse()) {
+      if (!hint.runningJobs.has(id)) continue;
+      const answer = await this.inspect(hint);
       const running = answer ? countRunningTasks(answer, id) : 0;
       if (running > 0) return running;
       asked += 1;
@@ -85,7 +102,7 @@
     return 0;
   }
 
-  private inspect({ machine, endpoint }: Heartbeat): Promise<Heartbeat | null> {
+  private inspect({ machine, endpoint }: Hint): Promise<Heartbeat | null> {
     const known = this.inspections.get(machine);
     if (known && steadyNow() - known.startedAt < MAX_AGE_MS) return known.heartbeat;
     if (this.pendingInspections >= MAX_CONCURRENT_INSPECTIONS) return Promise.resolve(null);
--- a/src/service/leader-term.ts
+++ b/src/service/leader-term.ts
@@ -22,6 +22,7 @@
 import { JobWatch } from './job-watch.js';
 import type { LeaderElection } from './leader-election.js';
 import { MachinePoller } from './machine-poller.js';
+import { maxStateBytes } from './memory-budget.js';
 import { type RecoveredState, StateRecovery } from './state-recovery.js';
 import type { JobCompletion, JobRecord } from './stored-records.js';
 import type { TermContext } from './term-context.js';
@@ -51,7 +52,7 @@
   { dependencies, fencingToken, acquiredAt }: LeaderTermOptions,
   graceAfterLeaseLossMs: Millis,
 ): CoreState => {
-  const { workers, cloudLimits, keyValueStoreLimits, teams } = dependencies.settings;
+  const { workers, cloudLimits, keyValueStoreLimits, quota, teams } = dependencies.settings;
   const core = createCore({
     fencingToken,
     acquiredAt,
@@ -65,6 +66,7 @@
     storeWritesPerSecond: keyValueStoreLimits.nextWriteRps,
     maxValueBytes: keyValueStoreLimits.maxValueBytes,
     maxAttemptsPerMachine: MAX_ATTEMPTS_PER_MACHINE,
+    maxStateBytes: maxStateBytes(quota.memoryMb),
     wallClockOffsetMs: Date.now() - steadyNow(),
   });
   if (dependencies.extensions.length > 0) {
--- a/src/service/state-recovery.ts
+++ b/src/service/state-recovery.ts
@@ -4,6 +4,7 @@
  * read here is complete. Jobs accepted meanwhile arrive through the job watch.
  */
 
+import { TaskRequests } from '../core/model/attempt-entry.js';
 import type { Command } from '../core/model/command.js';
 import type { ExtensionRecord } from '../core/model/extension-record.js';
 import type { Revision, SegmentKey } from '../core/model/ids.js';
@@ -17,6 +18,7 @@
   JOB_PREFIX,
   LEDGER_PREFIX,
   LEGACY_LEDGER_PREFIX,
+  type SegmentRecord,
 } from './stored-records.js';
 import type { TermContext } from './term-context.js';
 
@@ -40,6 +42,28 @@
   readonly keyRevisions: Map<string, Revision>;
 }
 
+/** A stored segment; `record` is null if it is unreadable. */
+interface LedgerItem {
+  readonly segment: SegmentKey;
+  readonly revision: Revision;
+  readonly record: SegmentRecord | null;
+}
+
+/** The record, whose entries share what they have in common: the ledger may hold 100,000. */
+const shareTaskRequests = ({ machines, progress }: SegmentRecord): SegmentRecord => {
+  const requests = new TaskRequests();
+  const rows = machines.map((row) => ({
+    ...row,
+    entries: row.entries.map((entry) => requests.share(entry)),
+  }));
+  return { machines: rows, progress };
+};
+
+const decodeLedgerItem = ({ key, value, revision }: StoredItem): LedgerItem => {
+  const record = decodeSegment(value);
+  return { segment: key as SegmentKey, revision, record: record && shareTaskRequests(record) };
+};
+
 /** Reads jobs, ledger and extension records, and converts them into commands. */
 export class StateRecovery {
   constructor(private readonly options: StateRecoveryOptions) {}
@@ -49,8 +73,8 @@
     const { dependencies, term, jobIntake } = this.options;
     const [jobs, ledger, legacyLedger] = await Promise.all([
       this.list(JOB_PREFIX),
-      this.list(LEDGER_PREFIX),
-      this.list(LEGACY_LEDGER_PREFIX),
+      this.list(LEDGER_PREFIX, decodeLedgerItem),
+      this.list(LEGACY_LEDGER_PREFIX, decodeLedgerItem),
     ]);
     if (!jobs || !ledger || !legacyLedger || !term.isCurrent) return null;
     const commands: Command[] = [];
@@ -71,20 +95,18 @@
     return { commands, jobsRevision: jobs.revision };
   }
 
-  private list(prefix: string) {
-    return listPrefix(this.options.dependencies, this.options.term, prefix);
+  private list<T = StoredItem>(prefix: string, decode?: (item: StoredItem) => T) {
+    return listPrefix(this.options.dependencies, this.options.term, prefix, decode);
   }
 
   /** Adds progress before attempts, so that an attempt of a finished task is not resumed. */
-  private addLedger(items: readonly StoredItem[], commands: Command[]): void {
+  private addLedger(items: readonly LedgerItem[], commands: Command[]): void {
     const attempts: Command[] = [];
-    for (const { key, value, revision } of items) {
-      this.options.keyRevisions.set(key, revision);
-      const segment = key as SegmentKey;
-      const record = decodeSegment(value);
+    for (const { segment, revision, record } of items) {
+      this.options.keyRevisions.set(segment, revision);
       if (!record) {
         this.options.dependencies.log.error(
-          { key },
+          { key: segment },
           'unreadable ledger record; placements wait until all worker leases have expired',
         );
         commands.push({ kind: 'unreadable-segment', segment });
--- a/src/service/store-listing.ts
+++ b/src/service/store-listing.ts
@@ -9,19 +9,23 @@
 const RETRY_MS = 200;
 
 /** All items under a prefix; a watch from `revision` on misses no later change. */
-export interface StoreListing {
-  readonly items: readonly StoredItem[];
+export interface StoreListing<T = StoredItem> {
+  readonly items: readonly T[];
   readonly revision: Revision;
 }
 
-/** Lists a prefix, retrying after each failure; returns null once the term has ended. */
-export const listPrefix = async (
+/**
+ * Lists a prefix, retrying after each failure; returns null once the term has ended. `decode` may
+ * be called more than once for an item.
+ */
+export const listPrefix = async <T = StoredItem>(
   { batchStore, jitter }: Pick<Dependencies, 'batchStore' | 'jitter'>,
   term: TermContext,
   prefix: string,
-): Promise<StoreListing | null> => {
+  decode?: (item: StoredItem) => T,
+): Promise<StoreListing<T> | null> => {
   while (term.isCurrent) {
-    const listing = await batchStore.listAll(prefix);
+    const listing = await batchStore.listAll(prefix, decode);
     if (listing.kind === 'listed') return listing;
     await sleep(jitter.apply(RETRY_MS));
   }
--- a/test/job-progress.test.ts
+++ b/test/job-progress.test.ts
@@ -6,6 +6,7 @@
   Change,
   GetResult,
   KeyValueStore,
+  StoredItem,
   WatchResult,
 } from '../src/ports/key-value-store.js';
 import type { Dependencies } from '../src/service/dependencies.js';
@@ -37,9 +38,9 @@
       await new Promise((resolve) => setTimeout(resolve, Math.min(ms, 20)));
       return { kind: 'changes', revision: REVISION, changes: changes() };
     },
-    listAll: async (prefix) => ({
-      kind: 'listed',
-      items: prefix === 'l/' ? (items() as never) : [],
+    listAll: async <T>(prefix: string, decode = (item: StoredItem) => item as T) => ({
+      kind: 'listed' as const,
+      items: prefix === 'l/' ? (items() as StoredItem[]).map(decode) : [],
       revision: REVISION,
     }),
   };
--- a/test/support/builders.ts
+++ b/test/support/builders.ts
@@ -118,6 +118,7 @@
         storeWritesPerSecond: 100,
         maxValueBytes: 8192,
         maxAttemptsPerMachine: 64,
+        maxStateBytes: 1_000_000_000,
         wallClockOffsetMs: 0,
       },
       overrides,
