What a leader learns of lost machines holds for its successors

Cause: a leader says nothing of a job whose only attempt may be on a machine that it has not heard. It waited for the proof that the machine is gone from its own election on: `provisionedAt` (missing from the cloud's list for 14 s), `lastHeartbeatAt` (four intervals, or two leases if many are silent) and `acquiredAt` (keep-alive and lease) all began anew, and a proof once found was in memory only, so that the next leader read the same ledger rows.

Change: segments tell when they were recorded, so a machine in one existed then, and its absence from the first list proves it gone. New records `s/<page>`, written with the batches, hold since when machines with attempts have been silent and how long leaders listened for them, and which attempts are proven gone (deletion confirmed, or worker lease expired); recovery skips those. No answer is taken over: a job is called queued only once its attempts are proven gone. A machine is given up on carried silence only after this leader has listened for 1.3 intervals itself, or all of them for three times that, and it is struck off at once when heard. Older versions ignore the field and the records; records older than a minute say nothing of silence.

The drains' test of the disruption record removes the returned machine's ledger row as well: the next leader now counts that machine as lost at once, and with it the disruption, which kept the test's last check from showing that the record is needed. The check itself is unchanged.

--- a/packages/drain/test/recovery.test.ts
+++ b/packages/drain/test/recovery.test.ts
@@ -76,8 +76,15 @@
     expect(fleet.workers.stops).toHaveLength(1);
     const disruptionKeys = [...fleet.store.records.keys()].filter((key) => key.startsWith('b/'));
     expect(disruptionKeys.length).toBe(1);
-    // Without the record of the disruption a new leader stops the next task.
+    // Without the record of the disruption a new leader stops the next task. The returned machine's
+    // ledger row goes too: from it the leader would count the task as disrupted by a lost machine.
     for (const key of disruptionKeys) fleet.store.records.delete(key);
+    const [returned] = fleet.cloud.returned;
+    for (const [key, segment] of fleet.store.ledger) {
+      const machines = segment.machines.filter(({ machine }) => machine !== returned);
+      expect(machines).toHaveLength(segment.machines.length - 1);
+      fleet.store.ledger.set(key, { ...segment, machines });
+    }
     fleet.failOver();
     fleet.runUntil(() => fleet.workers.stops.length === 2);
   });
--- a/packages/drain/test/support/drain-fleet.ts
+++ b/packages/drain/test/support/drain-fleet.ts
@@ -16,6 +16,7 @@
 } from '../../../../src/core/model/ids.js';
 import type { StoreOperation } from '../../../../src/core/model/ledger-record.js';
 import type { Instant } from '../../../../src/core/model/time.js';
+import { recoveredLossesCommand } from '../../../../src/service/recovered-losses.js';
 import {
   core,
   type JobOverrides,
@@ -31,6 +32,8 @@
 import { settingsOf } from './settings.js';
 
 const LIST_INTERVAL_MS = 4000;
+/** Time of day at which the leaders' clocks were 0, in milliseconds. */
+const WALL_CLOCK_OFFSET_MS = 1_000_000;
 /** Time for the first leader to hear from every machine. */
 const START_UP_MS = 6000;
 /** Time-out of an operator API call, in steps of `STEP_MS`. */
@@ -138,7 +141,7 @@
         teams: new Map([team('blue', 20_000), team('green', 20_000)].map((t) => [t.name, t])),
         fencingToken: this.fencingToken as FencingToken,
         acquiredAt: this.now as Instant,
-        wallClockOffsetMs: 1_000_000,
+        wallClockOffsetMs: WALL_CLOCK_OFFSET_MS,
         maxValueBytes: MAX_VALUE_BYTES,
       },
       // No baseline or spare capacity: only drains and waiting work change the fleet's size.
@@ -153,17 +156,22 @@
   }
 
   private recoveryCommands(): Command[] {
-    const { jobs, ledger, records } = this.store;
+    const { jobs, ledger, machineLosses, records } = this.store;
     const commands: Command[] = [
       { kind: 'machine-types', types: [machineType('c8', { bootS: 5 })] },
     ];
     for (const spec of jobs.values())
       commands.push({ kind: 'job', spec, submittedAt: this.now as Instant });
+    const toInstant = (time: number): Instant => (time - WALL_CLOCK_OFFSET_MS) as Instant;
+    for (const page of machineLosses.values())
+      commands.push(recoveredLossesCommand(page, toInstant));
     for (const [segment, { progress }] of ledger) {
       for (const row of progress) commands.push({ kind: 'recovered-progress', segment, ...row });
     }
-    for (const [segment, { machines }] of ledger) {
-      for (const row of machines) commands.push({ kind: 'recovered-attempts', segment, ...row });
+    for (const [segment, { machines, recordedAtTimeOfDayMs: time }] of ledger) {
+      const recordedAt = time === undefined ? null : toInstant(time);
+      for (const row of machines)
+        commands.push({ kind: 'recovered-attempts', segment, recordedAt, ...row });
     }
     const extensionRecords = [...records].map(([key, value]) => ({ key, value }));
     commands.push(
--- a/packages/drain/test/support/model-key-value-store.ts
+++ b/packages/drain/test/support/model-key-value-store.ts
@@ -2,6 +2,7 @@
 import type { JobId, SegmentKey } from '../../../../src/core/model/ids.js';
 import type { JobSpec } from '../../../../src/core/model/job.js';
 import type { StoreOperation } from '../../../../src/core/model/ledger-record.js';
+import type { MachineLossPage } from '../../../../src/core/model/machine-loss.js';
 import type { Faults } from './faults.js';
 
 export const MAX_VALUE_BYTES = 1024;
@@ -9,7 +10,7 @@
 type SegmentWrite = Extract<StoreOperation, { kind: 'write-segment' }>;
 type RecordWrites = Exclude<
   StoreOperation,
-  { kind: 'write-segment' | 'delete-segment' | 'job-completion' }
+  { kind: 'write-segment' | 'delete-segment' | 'job-completion' | 'write-machine-losses' }
 >;
 
 /** Stores jobs, the placement ledger, completions and extension records. */
@@ -18,6 +19,8 @@
   /** The outcome of each finished job. */
   readonly completions = new Map<string, string>();
   readonly ledger = new Map<SegmentKey, SegmentWrite>();
+  /** Findings on machines that do not answer, by page. */
+  readonly machineLosses = new Map<number, MachineLossPage>();
   /** Extension records, by key without the prefix. */
   readonly records = new Map<string, unknown>();
   /** The writes of records in order, each as its keys joined by `+`. */
@@ -49,6 +52,10 @@
         this.jobs.delete(operation.job);
         this.completions.set(operation.job, operation.outcome);
         return true;
+      case 'write-machine-losses':
+        if (operation.content) this.machineLosses.set(operation.page, operation.content);
+        else this.machineLosses.delete(operation.page);
+        return true;
       default:
         return this.storeRecords(operation);
     }
--- a/src/core/apply-commands.ts
+++ b/src/core/apply-commands.ts
@@ -12,6 +12,7 @@
   reconcileMachineList,
   updateMachineTypes,
 } from './fleet/inventory.js';
+import { recoverMachineLosses } from './fleet/machine-losses.js';
 import { handleProvisionResult } from './fleet/provision-requests.js';
 import { buildNextBatch } from './ledger/batch-builder.js';
 import { handleBatchStored } from './ledger/batch-result.js';
@@ -61,6 +62,8 @@
   switch (command.kind) {
     case 'job':
       return addJob(state, command.spec, command.submittedAt);
+    case 'recovered-machine-losses':
+      return recoverMachineLosses(state, command, now);
     case 'recovered-progress':
       return recoverProgress(state, command);
     case 'recovered-attempts':
--- a/src/core/core-state.ts
+++ b/src/core/core-state.ts
@@ -19,6 +19,7 @@
   TeamName,
 } from './model/ids.js';
 import type { MachineType } from './model/machine.js';
+import { createMachineLosses, type MachineLosses } from './model/machine-loss.js';
 import type { Policy } from './model/policy.js';
 import type { Team } from './model/team.js';
 import type { Instant, Millis } from './model/time.js';
@@ -104,6 +105,8 @@
   readonly machines: Map<MachineId, Machine>;
   /** Machines that the cloud has deleted: their late heartbeats are ignored. */
   readonly deletedMachines: Set<MachineId>;
+  /** What this leader and former ones know of machines that do not answer. */
+  readonly losses: MachineLosses;
   /** The cloud's machine types; empty until read. */
   readonly types: Map<MachineTypeName, MachineType>;
   /** Instance pools by `InstancePool.key`. */
@@ -166,6 +169,7 @@
   largestServiceCpus: 0,
   machines: new Map(),
   deletedMachines: new Set(),
+  losses: createMachineLosses(),
   types: new Map(),
   instancePools: new Map(),
   hasReadMachineList: false,
--- a/src/core/fleet/inventory.ts
+++ b/src/core/fleet/inventory.ts
@@ -11,6 +11,7 @@
 import type { ListedMachine, MachineType } from '../model/machine.js';
 import { addMillis, type Instant, type Millis } from '../model/time.js';
 import { createMachine, hasMissedHeartbeats } from './machine-health.js';
+import { recordGoneAttempts } from './machine-losses.js';
 
 /** Added to the list's maximum age before absence from the list counts. */
 const LIST_LAG_MARGIN_MS = 2000;
@@ -57,12 +58,13 @@
   requestedAt: Instant,
   now: Instant,
 ): void => {
+  const provisionedAt = (requestedAt - listed.ageS * 1000) as Instant;
   let machine = state.machines.get(listed.id);
   if (!machine) {
-    const provisionedAt = (requestedAt - listed.ageS * 1000) as Instant;
     machine = createMachine(listed.id, listed, provisionedAt, now);
     state.machines.set(listed.id, machine);
   }
+  machine.existsSince = Math.min(machine.existsSince, provisionedAt) as Instant;
   if (!machine.endpoint) machine.endpoint = listed.endpoint;
   if (listed.status !== 'failed') return;
   machine.isDraining = true;
@@ -90,7 +92,7 @@
   }
   const graceMs = LIST_LAG_FACTOR * state.config.listLagMs + LIST_LAG_MARGIN_MS;
   for (const machine of state.machines.values()) {
-    if (listedIds.has(machine.id) || requestedAt - machine.provisionedAt < graceMs) continue;
+    if (listedIds.has(machine.id) || requestedAt - machine.existsSince < graceMs) continue;
     if (machine.hasReported && !hasMissedHeartbeats(state, machine, now)) continue;
     machine.lostAt ??= now;
     machine.lostReason ||= 'notListed';
@@ -100,6 +102,7 @@
 
 /** Removes a machine whose deletion is confirmed and releases its placements. */
 const removeMachine = (state: CoreState, machine: Machine, now: Instant): void => {
+  recordGoneAttempts(state, machine, null, now);
   for (const placement of [...machine.placements.values()]) releasePlacement(state, placement, now);
   machine.placements.clear();
   state.machines.delete(machine.id);
--- a/src/core/fleet/loss-detection.ts
+++ b/src/core/fleet/loss-detection.ts
@@ -1,11 +1,12 @@
 /** Loss detection. A lost machine is replaced; its tasks stay held until the worker lease ends. */
 
 import type { CoreState } from '../core-state.js';
-import { releasePlacement } from '../lifecycle/attempts.js';
+import { nextAttemptNumber, releasePlacement } from '../lifecycle/attempts.js';
 import { workerLeaseExpiresAt } from '../lifecycle/worker-leases.js';
 import type { Machine } from '../model/entities.js';
 import type { Instant } from '../model/time.js';
 import { isLiveReplica } from '../scheduling/services.js';
+import { hasListenedLongEnough, recordGoneAttempts } from './machine-losses.js';
 
 /** Up to this many overdue machines are never a mass outage, however small the fleet is. */
 const MASS_OUTAGE_MIN_MACHINES = 2;
@@ -80,6 +81,7 @@
     : timeouts.defaultMs;
 
 const hasHeartbeatTimedOut = (
+  state: CoreState,
   machine: Machine,
   timeouts: HeartbeatTimeouts,
   now: Instant,
@@ -88,6 +90,7 @@
   // The replica timeout is the shortest; checking it first avoids scanning most placements.
   return (
     isHeartbeatExpected(machine) &&
+    hasListenedLongEnough(state, machine, now) &&
     heartbeatAgeMs > timeouts.replicaMs &&
     heartbeatAgeMs > heartbeatTimeoutMs(machine, timeouts)
   );
@@ -96,6 +99,7 @@
 /** Releases placements whose worker lease has expired: the worker has ended them by then. */
 const releaseExpiredPlacements = (state: CoreState, machine: Machine, now: Instant): void => {
   if (machine.placements.size === 0 || now <= workerLeaseExpiresAt(state, machine)) return;
+  recordGoneAttempts(state, machine, nextAttemptNumber(state), now);
   for (const placement of [...machine.placements.values()]) {
     releasePlacement(state, placement, now);
     machine.placements.delete(placement.entry.attempt);
@@ -107,7 +111,7 @@
 export const detectLostMachines = (state: CoreState, now: Instant): void => {
   const timeouts = computeHeartbeatTimeouts(state, now);
   for (const machine of state.machines.values()) {
-    if (machine.lostAt === null && hasHeartbeatTimedOut(machine, timeouts, now)) {
+    if (machine.lostAt === null && hasHeartbeatTimedOut(state, machine, timeouts, now)) {
       machine.lostAt = now;
       machine.lostReason = 'missedHeartbeats';
     }
--- a/src/core/fleet/machine-health.ts
+++ b/src/core/fleet/machine-health.ts
@@ -15,6 +15,7 @@
   id,
   ...attributes,
   provisionedAt,
+  existsSince: provisionedAt,
   firstSeenAt: now,
   agentEpoch: 0,
   heartbeatSequence: 0,
--- a/src/core/ledger/batch-builder.ts
+++ b/src/core/ledger/batch-builder.ts
@@ -5,11 +5,13 @@
 
 import type { CoreState } from '../core-state.js';
 import { MAX_WRITES_PER_REQUEST } from '../extensions/extension.js';
+import { takeMachineLossWrites } from '../fleet/machine-losses.js';
 import type { Effect } from '../model/effect.js';
 import type { Job, ProgressChunk } from '../model/entities.js';
 import type { Instant } from '../model/time.js';
 import { BatchDraft, isLongLived } from './batch-draft.js';
 import { compactSparseSegments } from './compaction.js';
+import { maxSegmentBytes } from './segments.js';
 
 /** How long progress may wait for other writes: storing it only saves work after a failover. */
 const MAX_PROGRESS_DELAY_MS = 700;
@@ -115,6 +117,12 @@
   }
 };
 
+const addMachineLosses = (state: CoreState, draft: BatchDraft, now: Instant): void => {
+  const room = draft.maxMutations - draft.mutations;
+  for (const write of takeMachineLossWrites(state, maxSegmentBytes(state.config), room, now))
+    draft.addOperation({ kind: 'write-machine-losses', ...write }, 1);
+};
+
 /** Builds a batch if there is something to store and no batch is being stored. */
 export const buildNextBatch = (state: CoreState, now: Instant, effects: Effect[]): void => {
   if (state.pendingBatch) return;
@@ -125,8 +133,9 @@
   addPlacements(state, draft, false);
   addProgress(state, draft, now);
   addCompactionAndDeletions(state, draft);
+  addMachineLosses(state, draft, now);
   addExtensionWrites(state, draft);
-  const operations = draft.finish();
+  const operations = draft.finish(now);
   if (operations.length === 0) return;
   state.nextBatch += 1;
   state.pendingBatch = draft.batch;
--- a/src/core/ledger/batch-draft.ts
+++ b/src/core/ledger/batch-draft.ts
@@ -5,6 +5,7 @@
 import type { SegmentKey } from '../model/ids.js';
 import { isService } from '../model/job.js';
 import type { StoreOperation } from '../model/ledger-record.js';
+import type { Instant } from '../model/time.js';
 import { SegmentDraft } from './segment-draft.js';
 import { maxSegmentBytes, segmentKey } from './segments.js';
 
@@ -122,8 +123,9 @@
   }
 
   /** Returns all operations in the order in which to store them. */
-  finish(): readonly StoreOperation[] {
-    for (const draft of this.segmentDrafts) this.operations.push(draft.toOperation());
+  finish(now: Instant): readonly StoreOperation[] {
+    const recordedAtMs = Math.round(now + this.state.config.wallClockOffsetMs);
+    for (const draft of this.segmentDrafts) this.operations.push(draft.toOperation(recordedAtMs));
     for (const key of this.obsoleteKeys) this.operations.push({ kind: 'delete-segment', key });
     return this.operations;
   }
--- a/src/core/ledger/recovery.ts
+++ b/src/core/ledger/recovery.ts
@@ -1,6 +1,7 @@
 /** Restores a new leader's state from former leaders' ledger rows. */
 
 import type { CoreState } from '../core-state.js';
+import { applyRecoveredFindings, isProvenGone } from '../fleet/machine-losses.js';
 import { getOrCreateChunk, isTaskDone, recountPendingTasks } from '../lifecycle/job-tasks.js';
 import { getOrCreateMachine } from '../lifecycle/machine-registry.js';
 import { recoverPlacement } from '../lifecycle/task-reconciliation.js';
@@ -108,9 +109,12 @@
   now: Instant,
 ): void => {
   const segment = getOrCreateSegment(state, row.segment);
+  segment.initialRowCount += row.entries.length;
+  const entries = row.entries.filter(({ attempt }) => !isProvenGone(state, row.machine, attempt));
+  if (entries.length === 0) return;
   const machine = getOrCreateMachine(state, row.machine, row.attributes, now);
-  for (const entry of row.entries) {
-    segment.initialRowCount += 1;
+  applyRecoveredFindings(state, machine, row.recordedAt ?? null);
+  for (const entry of entries) {
     const job = state.jobs.get(entry.job);
     // The result of a task stored as done is safe: its attempts need no reconciliation.
     if (job && isTaskDone(job, entry.index)) continue;
--- a/src/core/ledger/segment-draft.ts
+++ b/src/core/ledger/segment-draft.ts
@@ -13,7 +13,7 @@
 import { createSegment, detachChunk, detachPlacement } from './segments.js';
 
 /** Upper bounds, in bytes, of the JSON around the variable parts of a stored segment. */
-const FRAME_BYTES = 40;
+const FRAME_BYTES = 60;
 const ENTRY_BYTES = 9;
 const MACHINE_BYTES = 22;
 const JOB_BYTES = 14;
@@ -76,12 +76,14 @@
     return true;
   }
 
-  toOperation(): StoreOperation {
+  /** `recordedAtTimeOfDayMs`: time of day, in milliseconds since 1970. */
+  toOperation(recordedAtTimeOfDayMs: number): StoreOperation {
     return {
       kind: 'write-segment',
       key: this.segment.key,
       machines: [...this.machineRows.values()],
       progress: this.progressRows,
+      recordedAtTimeOfDayMs,
     };
   }
 
--- a/src/core/lifecycle/attempts.ts
+++ b/src/core/lifecycle/attempts.ts
@@ -4,7 +4,7 @@
 import { detachPlacement } from '../ledger/segments.js';
 import type { AttemptPhase, AttemptRelease } from '../model/attempt.js';
 import type { Job, Machine, Placement } from '../model/entities.js';
-import type { ZoneName } from '../model/ids.js';
+import type { AttemptId, ZoneName } from '../model/ids.js';
 import type { LedgerEntry } from '../model/ledger-record.js';
 import type { Instant } from '../model/time.js';
 import { isTaskDone } from './job-tasks.js';
@@ -16,6 +16,10 @@
  */
 export const ATTEMPTS_PER_REVISION = 1_000_000;
 
+/** The number that the next attempt gets; all present attempts have lower ones. */
+export const nextAttemptNumber = ({ config, nextAttemptOffset }: CoreState): AttemptId =>
+  (config.fencingToken * ATTEMPTS_PER_REVISION + nextAttemptOffset) as AttemptId;
+
 /** Whether this leader has a number for another attempt. */
 export const hasUnusedAttemptNumber = ({
   config,
--- a/src/core/lifecycle/heartbeat-reconciliation.ts
+++ b/src/core/lifecycle/heartbeat-reconciliation.ts
@@ -5,6 +5,7 @@
 
 import type { CoreState } from '../core-state.js';
 import { hasMissedHeartbeats } from '../fleet/machine-health.js';
+import { recordHeard } from '../fleet/machine-losses.js';
 import { logEvent } from '../log-event.js';
 import type { Effect } from '../model/effect.js';
 import type { Machine } from '../model/entities.js';
@@ -50,6 +51,7 @@
   machine.agentEpoch = heartbeat.agentEpoch;
   machine.heartbeatSequence = heartbeat.sequence;
   machine.hasReported = true;
+  recordHeard(state, machine.id, now);
   if (isDirectResponse) return;
   if (hasMissedHeartbeats(state, machine, now)) state.isRoundDue = true;
   machine.lastHeartbeatAt = now;
--- a/src/core/model/command.ts
+++ b/src/core/model/command.ts
@@ -13,6 +13,7 @@
 import type { JobSpec } from './job.js';
 import type { LedgerRow, ProgressRow, StoreOperation } from './ledger-record.js';
 import type { ListedMachine, MachineType, ProvisionOutcome } from './machine.js';
+import type { GoneAttempts, RecoveredSilence } from './machine-loss.js';
 import type { OperatorCall } from './operator-call.js';
 import type { Instant } from './time.js';
 
@@ -20,9 +21,24 @@
 export type Command =
   /** An accepted job, also during recovery; it may be repeated. */
   | { readonly kind: 'job'; readonly spec: JobSpec; readonly submittedAt: Instant }
-  /** Recovery sends jobs, progress, attempts, extension records and completion in this order. */
+  /**
+   * Recovery sends jobs, findings on lost machines, progress, attempts, extension records and
+   * completion in this order.
+   */
+  | {
+      readonly kind: 'recovered-machine-losses';
+      readonly page: number;
+      readonly silent: readonly ({ readonly machine: MachineId } & RecoveredSilence)[];
+      readonly gone: readonly GoneAttempts[];
+      readonly writtenAt: Instant;
+    }
   | ({ readonly kind: 'recovered-progress'; readonly segment: SegmentKey } & ProgressRow)
-  | ({ readonly kind: 'recovered-attempts'; readonly segment: SegmentKey } & LedgerRow)
+  | ({
+      readonly kind: 'recovered-attempts';
+      readonly segment: SegmentKey;
+      /** When they were recorded, or somewhat later; null or absent if unknown. */
+      readonly recordedAt?: Instant | null;
+    } & LedgerRow)
   /** An unreadable ledger segment: its attempts may be on any machine. */
   | { readonly kind: 'unreadable-segment'; readonly segment: SegmentKey }
   /** The whole stored state has been sent. */
--- a/src/core/model/entities.ts
+++ b/src/core/model/entities.ts
@@ -119,6 +119,8 @@
   zone: ZoneName;
   spot: boolean;
   provisionedAt: Instant;
+  /** A time at which it certainly existed: it is gone if a list of a later time lacks it. */
+  existsSince: Instant;
   /** When this leader discovered it. */
   readonly firstSeenAt: Instant;
   /** Agent epoch of its newest heartbeat; 0 for none. */
--- a/src/core/model/ledger-record.ts
+++ b/src/core/model/ledger-record.ts
@@ -4,6 +4,7 @@
 import type { AttemptId, JobId, MachineId, SegmentKey, TaskIndex, TeamName } from './ids.js';
 import type { JobOutcome } from './job.js';
 import type { MachineAttributes } from './machine.js';
+import type { MachineLossWrite } from './machine-loss.js';
 
 /** Ledger entry of an attempt, sufficient to count its resources when its job is gone. */
 export interface LedgerEntry {
@@ -43,9 +44,15 @@
       readonly key: SegmentKey;
       readonly machines: readonly LedgerRow[];
       readonly progress: readonly ProgressRow[];
+      /** Time of day of the write, in milliseconds since 1970; absent if unknown. */
+      readonly recordedAtTimeOfDayMs?: number;
     }
   /** Deletes an obsolete segment. */
   | { readonly kind: 'delete-segment'; readonly key: SegmentKey }
+  /** Writes a page of findings on machines that do not answer; null deletes it. */
+  | ({
+      readonly kind: 'write-machine-losses';
+    } & MachineLossWrite)
   /** Writes records of an extension. */
   | {
       readonly kind: 'write-extension-records';
--- a/src/core/scheduling/placement.ts
+++ b/src/core/scheduling/placement.ts
@@ -1,15 +1,11 @@
 /** Placement of one job's pending tasks: the choice and order of machines, and the limits. */
 
 import type { CoreState } from '../core-state.js';
-import {
-  ATTEMPTS_PER_REVISION,
-  addPlacement,
-  hasUnusedAttemptNumber,
-} from '../lifecycle/attempts.js';
+import { addPlacement, hasUnusedAttemptNumber, nextAttemptNumber } from '../lifecycle/attempts.js';
 import { failsEverywhere, takePendingTask } from '../lifecycle/job-tasks.js';
 import { AttemptEntry } from '../model/attempt-entry.js';
 import type { Job, Placement } from '../model/entities.js';
-import type { AttemptId, ZoneName } from '../model/ids.js';
+import type { ZoneName } from '../model/ids.js';
 import { isService } from '../model/job.js';
 import { type Instant, wholeMillis } from '../model/time.js';
 import { countAttemptsWithinMemory } from './attempt-room.js';
@@ -172,8 +168,7 @@
     job.requeuedTasks.push(index);
     return null;
   }
-  const firstAttempt = state.config.fencingToken * ATTEMPTS_PER_REVISION;
-  const attempt = (firstAttempt + state.nextAttemptOffset) as AttemptId;
+  const attempt = nextAttemptNumber(state);
   state.nextAttemptOffset += 1;
   const placement: Placement = {
     entry: new AttemptEntry(job.spec, index, attempt),
--- a/src/service/batch-writer.ts
+++ b/src/service/batch-writer.ts
@@ -5,15 +5,18 @@
 import type { RecordWrite } from '../core/model/extension-record.js';
 import type { FencingToken, Revision, SegmentKey } from '../core/model/ids.js';
 import type { StoreOperation } from '../core/model/ledger-record.js';
+import type { MachineLossWrite } from '../core/model/machine-loss.js';
 import type { KeyValueStore, Mutation } from '../ports/key-value-store.js';
 import { GuardedWriter } from './guarded-writer.js';
 import { type SegmentWrite, splitSegment } from './segment-splitting.js';
 import {
   completionKey,
   encodeCompletion,
+  encodeMachineLosses,
   encodeSegment,
   extensionKey,
   jobKey,
+  machineLossKey,
 } from './stored-records.js';
 
 /** The store to write to, and the fencing token that guards every write. */
@@ -40,9 +43,14 @@
   readonly mutations: readonly Mutation[];
 }
 
+const segmentMutation = (operation: SegmentWrite): Mutation => ({
+  put: operation.key,
+  value: encodeSegment(operation),
+});
+
 const segmentUnit = (operation: SegmentWrite): WriteUnit => ({
   operation,
-  mutations: [{ put: operation.key, value: encodeSegment(operation) }],
+  mutations: [segmentMutation(operation)],
 });
 
 const countMutations = (units: readonly WriteUnit[]): number =>
@@ -104,35 +112,43 @@
   }
 
   private toWriteUnits(operations: readonly StoreOperation[]): WriteUnit[] {
-    const units: WriteUnit[] = [];
-    for (const operation of operations) {
-      switch (operation.kind) {
-        case 'job-completion':
-          units.push({
-            operation,
-            mutations: [
-              { put: completionKey(operation.job), value: encodeCompletion(operation) },
-              { del: jobKey(operation.job) },
-            ],
-          });
-          break;
-        case 'write-extension-records': {
-          const mutations = this.toExtensionMutations(operation.extension, operation.writes);
-          if (mutations.length > 0) units.push({ operation, mutations });
-          break;
-        }
-        case 'write-segment':
-          units.push(segmentUnit(operation));
-          break;
-        case 'delete-segment':
-          // One unit per piece: a segment may have more pieces than one transaction allows.
-          for (const key of this.pieces.get(operation.key) ?? [operation.key])
-            if (this.keyRevisions.has(key)) units.push({ operation, mutations: [{ del: key }] });
-          this.pieces.delete(operation.key);
-          break;
+    return operations.flatMap((operation) =>
+      this.toMutationGroups(operation)
+        .filter((mutations) => mutations.length > 0)
+        .map((mutations) => ({ operation, mutations })),
+    );
+  }
+
+  /** The operation's mutations, in groups that must each share one transaction. */
+  private toMutationGroups(operation: StoreOperation): Mutation[][] {
+    switch (operation.kind) {
+      case 'job-completion': {
+        const put = completionKey(operation.job);
+        return [[{ put, value: encodeCompletion(operation) }, { del: jobKey(operation.job) }]];
       }
+      case 'write-extension-records':
+        return [this.toExtensionMutations(operation.extension, operation.writes)];
+      case 'write-machine-losses':
+        return [this.toMachineLossMutations(operation)];
+      case 'write-segment':
+        return [[segmentMutation(operation)]];
+      case 'delete-segment':
+        return this.toSegmentDeletions(operation.key);
     }
-    return units;
+  }
+
+  /** One group per piece: a segment may have more pieces than one transaction allows. */
+  private toSegmentDeletions(segment: SegmentKey): Mutation[][] {
+    const keys = this.pieces.get(segment) ?? [segment];
+    this.pieces.delete(segment);
+    return keys.filter((key) => this.keyRevisions.has(key)).map((key) => [{ del: key }]);
+  }
+
+  /** Omits the deletion of a page that is not stored. */
+  private toMachineLossMutations({ page, content }: MachineLossWrite): Mutation[] {
+    const key = machineLossKey(page);
+    if (content) return [{ put: key, value: encodeMachineLosses(content) }];
+    return this.keyRevisions.has(key) ? [{ del: key }] : [];
   }
 
   /** Omits deletions of keys that are not stored. */
--- a/src/service/segment-splitting.ts
+++ b/src/service/segment-splitting.ts
@@ -46,9 +46,9 @@
 export const splitSegment = (segment: SegmentWrite): [SegmentWrite, SegmentWrite] | null => {
   const rows = splitRows(segment);
   if (!rows) return null;
-  const { kind, key } = segment;
+  const { key } = segment;
   return [
-    { kind, key: `${key}.0` as SegmentKey, ...rows[0] },
-    { kind, key: `${key}.1` as SegmentKey, ...rows[1] },
+    { ...segment, key: `${key}.0` as SegmentKey, ...rows[0] },
+    { ...segment, key: `${key}.1` as SegmentKey, ...rows[1] },
   ];
 };
--- a/src/service/state-recovery.ts
+++ b/src/service/state-recovery.ts
@@ -4,20 +4,25 @@
  * read here is complete. Jobs accepted meanwhile arrive through the job watch.
  */
 
+import { fromTimeOfDay, steadyNow } from '../adapters/runtime/clock.js';
 import { TaskRequests } from '../core/model/attempt-entry.js';
 import type { Command } from '../core/model/command.js';
 import type { ExtensionRecord } from '../core/model/extension-record.js';
 import type { Revision, SegmentKey } from '../core/model/ids.js';
+import type { Instant } from '../core/model/time.js';
 import type { StoredItem } from '../ports/key-value-store.js';
 import type { Dependencies } from './dependencies.js';
 import type { JobIntake } from './job-intake.js';
+import { recoveredLossesCommand } from './recovered-losses.js';
 import { listPrefix } from './store-listing.js';
 import {
+  decodeMachineLosses,
   decodeSegment,
   extensionPrefix,
   JOB_PREFIX,
   LEDGER_PREFIX,
   LEGACY_LEDGER_PREFIX,
+  MACHINE_LOSS_PREFIX,
   type SegmentRecord,
 } from './stored-records.js';
 import type { TermContext } from './term-context.js';
@@ -34,7 +39,7 @@
 export interface StateRecoveryOptions {
   readonly dependencies: Pick<
     Dependencies,
-    'batchStore' | 'extensions' | 'jitter' | 'log' | 'machineTypes'
+    'batchStore' | 'extensions' | 'jitter' | 'log' | 'machineTypes' | 'settings'
   >;
   readonly term: TermContext;
   readonly jobIntake: JobIntake;
@@ -50,13 +55,13 @@
 }
 
 /** The record, whose entries share what they have in common: the ledger may hold 100,000. */
-const shareTaskRequests = ({ machines, progress }: SegmentRecord): SegmentRecord => {
+const shareTaskRequests = (record: SegmentRecord): SegmentRecord => {
   const requests = new TaskRequests();
-  const rows = machines.map((row) => ({
+  const machines = record.machines.map((row) => ({
     ...row,
     entries: row.entries.map((entry) => requests.share(entry)),
   }));
-  return { machines: rows, progress };
+  return { ...record, machines };
 };
 
 const decodeLedgerItem = ({ key, value, revision }: StoredItem): LedgerItem => {
@@ -71,16 +76,18 @@
   /** Returns the stored state, or null if the term ends first. */
   async recover(): Promise<RecoveredState | null> {
     const { dependencies, term, jobIntake } = this.options;
-    const [jobs, ledger, legacyLedger] = await Promise.all([
+    const [jobs, losses, ledger, legacyLedger] = await Promise.all([
       this.list(JOB_PREFIX),
+      this.list(MACHINE_LOSS_PREFIX),
       this.list(LEDGER_PREFIX, decodeLedgerItem),
       this.list(LEGACY_LEDGER_PREFIX, decodeLedgerItem),
     ]);
-    if (!jobs || !ledger || !legacyLedger || !term.isCurrent) return null;
+    if (!jobs || !losses || !ledger || !legacyLedger || !term.isCurrent) return null;
     const commands: Command[] = [];
     if (dependencies.machineTypes)
       commands.push({ kind: 'machine-types', types: dependencies.machineTypes });
     for (const command of jobIntake.commandsForRecords(jobs.items)) commands.push(command);
+    this.addMachineLosses(losses.items, commands);
     this.addLedger([...ledger.items, ...legacyLedger.items], commands);
     for (const { name } of dependencies.extensions) {
       const records = await this.readExtensionRecords(name);
@@ -99,6 +106,27 @@
     return listPrefix(this.options.dependencies, this.options.term, prefix, decode);
   }
 
+  /** An unreadable page is overwritten; what it said is then found out again. */
+  private addMachineLosses(items: readonly StoredItem[], commands: Command[]): void {
+    const { dependencies, keyRevisions } = this.options;
+    for (const { key, value, revision } of items) {
+      keyRevisions.set(key, revision);
+      const record = decodeMachineLosses(value);
+      if (!record) {
+        dependencies.log.error({ key }, 'unreadable record of lost machines; ignoring it');
+        continue;
+      }
+      commands.push(recoveredLossesCommand(record, (time) => this.toInstant(time)));
+    }
+  }
+
+  /** The latest instant at which the clock of the node that wrote the time may have shown it. */
+  private toInstant(timeOfDayMs: number): Instant {
+    const { maxClockOffsetMs } = this.options.dependencies.settings;
+    const instant = fromTimeOfDay(timeOfDayMs + 2 * maxClockOffsetMs);
+    return Math.min(instant, steadyNow()) as Instant;
+  }
+
   /** Adds progress before attempts, so that an attempt of a finished task is not resumed. */
   private addLedger(items: readonly LedgerItem[], commands: Command[]): void {
     const attempts: Command[] = [];
@@ -114,8 +142,10 @@
       }
       for (const row of record.progress)
         commands.push({ kind: 'recovered-progress', segment, ...row });
+      const { recordedAtTimeOfDayMs: recorded } = record;
+      const recordedAt = recorded === undefined ? null : this.toInstant(recorded);
       for (const row of record.machines)
-        attempts.push({ kind: 'recovered-attempts', segment, ...row });
+        attempts.push({ kind: 'recovered-attempts', segment, recordedAt, ...row });
     }
     commands.push(...attempts);
   }
--- a/src/service/stored-records.ts
+++ b/src/service/stored-records.ts
@@ -22,7 +22,9 @@
   LEADER_KEY,
   LEDGER_PREFIX,
   LEGACY_LEDGER_PREFIX,
+  MACHINE_LOSS_PREFIX,
   MACHINE_TYPES_KEY,
+  machineLossKey,
   PROGRESS_REQUEST_PREFIX,
   PROGRESS_SNAPSHOT_PREFIX,
   progressRequestKey,
@@ -30,6 +32,8 @@
 } from './stored-records/keys.js';
 /** The leader. */
 export { decodeLeader, type LeaderRecord } from './stored-records/leader-record.js';
+/** Findings on machines that do not answer. */
+export { decodeMachineLosses, encodeMachineLosses } from './stored-records/machine-loss-record.js';
 /** The cloud's machine types. */
 export { decodeMachineTypes } from './stored-records/machine-types-record.js';
 /** Requests for a progress snapshot, and the snapshots. */
--- a/src/service/stored-records/keys.ts
+++ b/src/service/stored-records/keys.ts
@@ -26,6 +26,9 @@
 /** Pages of the leader's newest progress snapshot. */
 export const PROGRESS_SNAPSHOT_PREFIX = 'p/';
 
+/** Pages of the leaders' findings on machines that do not answer. */
+export const MACHINE_LOSS_PREFIX = 's/';
+
 /** Records of extensions. */
 const EXTENSION_PREFIX = 'x/';
 
@@ -45,5 +48,8 @@
 /** Key of a controller's request for a progress snapshot. */
 export const progressRequestKey = (node: NodeId): string => `${PROGRESS_REQUEST_PREFIX}${node}`;
 
+/** Key of one page of findings on machines that do not answer. */
+export const machineLossKey = (page: number): string => `${MACHINE_LOSS_PREFIX}${page}`;
+
 /** Key of one page of the progress snapshot. */
 export const progressSnapshotKey = (page: number): string => `${PROGRESS_SNAPSHOT_PREFIX}${page}`;
--- a/src/service/stored-records/segment-record.ts
+++ b/src/service/stored-records/segment-record.ts
@@ -52,6 +52,8 @@
    * results.
    */
   e: v.optional(v.array(progressRowSchema), []),
+  /** Time of day of the write, in milliseconds since 1970; older versions omit it. */
+  t: v.fallback(v.optional(nonNegativeInteger()), undefined),
 });
 type StoredSegment = v.InferInput<typeof segmentSchema>;
 type StoredJobRow = v.InferInput<typeof jobRowSchema>;
@@ -63,6 +65,8 @@
 export interface SegmentRecord {
   readonly machines: readonly LedgerRow[];
   readonly progress: readonly ProgressRow[];
+  /** Time of day of the write, in milliseconds since 1970; absent if unknown. */
+  readonly recordedAtTimeOfDayMs?: number;
 }
 
 /** Collects the job rows of a segment and assigns their indexes. */
@@ -100,7 +104,11 @@
 const beginsAtBlock = ({ firstTask }: ProgressRow): boolean => firstTask % TASKS_PER_BLOCK === 0;
 
 /** Encodes a segment; `segmentSchema` explains the two fields that hold progress. */
-export const encodeSegment = ({ machines, progress }: SegmentRecord): StoredSegment => {
+export const encodeSegment = ({
+  machines,
+  progress,
+  recordedAtTimeOfDayMs,
+}: SegmentRecord): StoredSegment => {
   const jobs = new JobRows();
   const blocks = progress.filter(beginsAtBlock);
   const smallChunks = progress.filter((row) => !beginsAtBlock(row));
@@ -111,6 +119,7 @@
     ...(smallChunks.length > 0
       ? { e: smallChunks.map((row) => encodeProgress(row, row.firstTask)) }
       : {}),
+    ...(recordedAtTimeOfDayMs === undefined ? {} : { t: recordedAtTimeOfDayMs }),
   };
 };
 
@@ -139,7 +148,7 @@
 export const decodeSegment = (value: unknown): SegmentRecord | null => {
   const parsed = v.safeParse(segmentSchema, value);
   if (!parsed.success) return null;
-  const { j: jobRows, m: machineRows, d: blocks, e: smallChunks } = parsed.output;
+  const { j: jobRows, m: machineRows, d: blocks, e: smallChunks, t: recordedAt } = parsed.output;
   const machines: LedgerRow[] = [];
   for (const machineRow of machineRows) {
     const machine = decodeMachine(machineRow, jobRows);
@@ -151,7 +160,11 @@
     progress.push(decodeProgress(job, block * TASKS_PER_BLOCK, bits));
   for (const [job, firstTask, bits] of smallChunks)
     progress.push(decodeProgress(job, firstTask, bits));
-  return { machines, progress };
+  return {
+    machines,
+    progress,
+    ...(recordedAt === undefined ? {} : { recordedAtTimeOfDayMs: recordedAt }),
+  };
 };
 
 const placedJobsSchema = v.object({ j: v.array(v.looseTuple([brandedString<JobId>()])) });
--- a/test/pinned-records.test.ts
+++ b/test/pinned-records.test.ts
@@ -28,18 +28,21 @@
   ZoneName,
 } from '../src/core/model/ids.js';
 import type { JobSpec } from '../src/core/model/job.js';
+import type { MachineLossPage } from '../src/core/model/machine-loss.js';
 import {
   COMPLETION_PREFIX,
   completionKey,
   decodeCompletion,
   decodeJob,
   decodeLeader,
+  decodeMachineLosses,
   decodeMachineTypes,
   decodeProgressPage,
   decodeProgressRequest,
   decodeSegment,
   encodeCompletion,
   encodeJob,
+  encodeMachineLosses,
   encodeProgressRequest,
   encodeProgressSnapshot,
   encodeSegment,
@@ -52,6 +55,7 @@
   LEDGER_PREFIX,
   LEGACY_LEDGER_PREFIX,
   MACHINE_TYPES_KEY,
+  machineLossKey,
   type ProgressSnapshot,
   progressRequestKey,
   progressSnapshotKey,
@@ -239,6 +243,57 @@
   }
 });
 
+describe('a ledger segment with its time', () => {
+  const record: SegmentRecord = { ...modelValues.ledger, recordedAtTimeOfDayMs: 1790000000123 };
+
+  it('is as pinned, is read back, and older versions read it without the time', () => {
+    const written = encodeSegment(record);
+    pins.check('ledger with time', written);
+    expect(decodeSegment(pins.get('ledger with time'))).toEqual(record);
+    expect(v.parse(pinnedSchemas.segmentRecord, throughJson(written))).toEqual({
+      e: [],
+      ...encodeSegment(modelValues.ledger),
+    });
+  });
+
+  it('is read without a time that is no number', () => {
+    const written = { ...encodeSegment(record), t: 'soon' };
+    expect(decodeSegment(written)).toEqual(modelValues.ledger);
+  });
+});
+
+describe('the record of lost machines', () => {
+  it('is as pinned, and is read back', () => {
+    const page: MachineLossPage = {
+      page: 1,
+      writtenAtTimeOfDayMs: 1790000000123,
+      silent: [
+        {
+          machine: 'n-000001' as MachineId,
+          sinceTimeOfDayMs: 1790000000000,
+          listenedMs: 3000,
+        },
+      ],
+      gone: [
+        {
+          machine: 'n-000002' as MachineId,
+          attemptsBelow: 41000017,
+          provenAtTimeOfDayMs: 1790000000001,
+        },
+        {
+          machine: 'n-000003' as MachineId,
+          attemptsBelow: null,
+          provenAtTimeOfDayMs: 1790000000002,
+        },
+      ],
+    };
+    pins.check('lost machines', [machineLossKey(1), encodeMachineLosses(page)]);
+    const [, value] = pins.get<[string, unknown]>('lost machines');
+    expect(decodeMachineLosses(value)).toEqual(page);
+    expect(decodeMachineLosses({ odd: true })).toBeNull();
+  });
+});
+
 describe('progress records', () => {
   const node = 'node-1' as NodeId;
   const request = { life: '1790000000123-42', n: 3 };
--- a/test/support/attempt-memory.ts
+++ b/test/support/attempt-memory.ts
@@ -218,6 +218,7 @@
       jitter: {} as never,
       log: log as never,
       machineTypes: [machineType('c8')],
+      settings: { maxClockOffsetMs: 25 } as never,
     },
     term: { isCurrent: true } as never,
     jobIntake: { commandsForRecords: () => [] } as never,
--- a/test/support/simulated-world/key-value-store.ts
+++ b/test/support/simulated-world/key-value-store.ts
@@ -2,7 +2,8 @@
 import type { SegmentKey } from '../../../src/core/model/ids.js';
 import type { JobSpec } from '../../../src/core/model/job.js';
 import type { StoreOperation } from '../../../src/core/model/ledger-record.js';
-import { encodeSegment } from '../../../src/service/stored-records.js';
+import type { MachineLossWrite } from '../../../src/core/model/machine-loss.js';
+import { encodeMachineLosses, encodeSegment } from '../../../src/service/stored-records.js';
 import type { Leader } from './leaders.js';
 import type { RuleChecks } from './rule-checks.js';
 import { INITIAL_LIMITS, REDUCED_LIMITS } from './settings.js';
@@ -16,6 +17,8 @@
   readonly completions: Map<string, string>;
   /** Ledger segments, as JSON texts. */
   readonly ledger: Map<SegmentKey, string>;
+  /** Findings on machines that do not answer: pages as JSON texts. */
+  readonly machineLosses: Map<number, string>;
   /** Records of extensions, as JSON texts. */
   readonly records: Map<string, string>;
   /** The fencing token of the leader that may write. */
@@ -27,6 +30,7 @@
   jobs: new Map(),
   completions: new Map(),
   ledger: new Map(),
+  machineLosses: new Map(),
   records: new Map(),
   fencingToken: 10,
 });
@@ -104,6 +108,9 @@
       case 'delete-segment':
         if (!data.ledger.delete(op.key)) problems.push(`ledger segment deleted twice: ${op.key}`);
         return;
+      case 'write-machine-losses':
+        if (!isPreviousVersion) this.writeMachineLosses(op);
+        return;
       case 'write-extension-records':
         for (const { key, value } of op.writes) this.writeRecord(`${op.extension}/${key}`, value);
         return;
@@ -117,6 +124,17 @@
     }
   }
 
+  private writeMachineLosses({ page, content }: MachineLossWrite): void {
+    if (content === null) {
+      this.data.machineLosses.delete(page);
+      return;
+    }
+    const text = JSON.stringify(encodeMachineLosses(content));
+    if (text.length > REDUCED_LIMITS.maxValueBytes)
+      this.sim.problems.push(`page of lost machines over the size limit: ${text.length} bytes`);
+    this.data.machineLosses.set(page, text);
+  }
+
   private writeRecord(key: string, value: unknown): void {
     if (value === null) {
       this.data.records.delete(key);
--- a/test/support/simulated-world/leaders.ts
+++ b/test/support/simulated-world/leaders.ts
@@ -5,7 +5,8 @@
 import type { Authority } from '../../../src/core/model/effect.js';
 import type { FencingToken } from '../../../src/core/model/ids.js';
 import type { Instant } from '../../../src/core/model/time.js';
-import { decodeSegment } from '../../../src/service/stored-records.js';
+import { recoveredLossesCommand } from '../../../src/service/recovered-losses.js';
+import { decodeMachineLosses, decodeSegment } from '../../../src/service/stored-records.js';
 import { core } from '../builders.js';
 import type { Fleet } from './fleet.js';
 import type { ModelKeyValueStore } from './key-value-store.js';
@@ -130,14 +131,16 @@
       if (leader.isPreviousVersion && spec.shape === 'service') continue;
       queue.push({ kind: 'job', spec, submittedAt: submittedAt as Instant });
     }
+    if (!leader.isPreviousVersion) this.recoverMachineLosses(leader);
     const attempts: Command[] = [];
     for (const [segment, text] of this.store.data.ledger) {
       const record = decodeSegment(JSON.parse(text));
       if (!record) throw new Error(`cannot decode ledger segment ${segment}`);
+      const recordedAt = (record.recordedAtTimeOfDayMs ?? null) as Instant | null;
       for (const row of record.progress)
         queue.push({ kind: 'recovered-progress', segment, ...row });
       for (const row of record.machines)
-        attempts.push({ kind: 'recovered-attempts', segment, ...row });
+        attempts.push({ kind: 'recovered-attempts', segment, recordedAt, ...row });
     }
     queue.push(...attempts);
     this.recoverExtension(leader);
@@ -149,6 +152,15 @@
     });
   }
 
+  /** The model's clocks show the time of day. */
+  private recoverMachineLosses(leader: Leader): void {
+    for (const text of this.store.data.machineLosses.values()) {
+      const page = decodeMachineLosses(JSON.parse(text));
+      if (!page) throw new Error('cannot decode a page of lost machines');
+      leader.queue.push(recoveredLossesCommand(page, (time) => time as Instant));
+    }
+  }
+
   private recoverExtension(leader: Leader): void {
     const name = this.sim.options.module?.name;
     if (!leader.state.extensions || name === undefined) return;
