Starts travel in heartbeat replies alone, by type, and tests with late copies of messages

Here a start reaches a worker in one way, the reply to the heartbeat that it waits for: direct commands are kills, which `send-commands` now says by its type.

A start may come again (1) in each reply until the worker reports the attempt, within one agent epoch; the worker ignores it while it holds the attempt, and the leader reaps only what was reported as ended, after which the attempt is not dispatched any more; (2) if a copy of a heartbeat made a leader answer anew: copies are stale at a leader that knows the machine, and a leader that does not know it has dispatched nothing to it. A successor never sends a recovered attempt's start.

--- a/src/core/lifecycle/worker-commands.ts
+++ b/src/core/lifecycle/worker-commands.ts
@@ -8,7 +8,12 @@
 import type { Effect } from '../model/effect.js';
 import type { Machine, Placement } from '../model/entities.js';
 import type { Instant } from '../model/time.js';
-import type { WorkerCommand } from '../model/worker-command.js';
+import type {
+  KillCommand,
+  ReapCommand,
+  StartCommand,
+  WorkerCommand,
+} from '../model/worker-command.js';
 
 type StopRequest = NonNullable<Placement['stopRequest']>;
 
@@ -34,15 +39,15 @@
 export const belongsToEndedJob = ({ job, stopRequest }: Placement): boolean =>
   stopRequest !== null && (job === null || job.terminalState !== 'none');
 
-const killCommand = (placement: Placement, graceS: number, now: Instant): WorkerCommand => {
+const killCommand = (placement: Placement, graceS: number, now: Instant): KillCommand => {
   const { job, index, attempt } = placement.entry;
   if (placement.stopRequest) placement.stopRequest.sentAt = now;
   return { op: 'kill', job, index, attempt, graceS };
 };
 
 /** The kills of ended jobs' attempts, which need no valid leader lease. */
-export const killCommandsOfEndedJobs = (machine: Machine, now: Instant): WorkerCommand[] => {
-  const commands: WorkerCommand[] = [];
+export const killCommandsOfEndedJobs = (machine: Machine, now: Instant): KillCommand[] => {
+  const commands: KillCommand[] = [];
   for (const placement of machine.placements.values()) {
     if (commands.length >= MAX_COMMANDS) break;
     if (placement.phase === 'ended' || !belongsToEndedJob(placement)) continue;
@@ -51,14 +56,14 @@
   return commands;
 };
 
-const reapCommand = (state: CoreState, placement: Placement): WorkerCommand | null => {
+const reapCommand = (state: CoreState, placement: Placement): ReapCommand | null => {
   if (!canReap(state, placement)) return null;
   const { job, index, attempt } = placement.entry;
   return { op: 'reap', job, index, attempt };
 };
 
 /** Returns null while the worker cannot have the task yet, or while it writes a checkpoint. */
-const stopCommand = (placement: Placement, graceS: number, now: Instant): WorkerCommand | null => {
+const stopCommand = (placement: Placement, graceS: number, now: Instant): KillCommand | null => {
   const { phase } = placement;
   if (phase === 'persisting' || phase === 'dispatched') return null;
   if (phase === 'checkpointing' && graceS > 0) return null;
@@ -69,7 +74,7 @@
  * A start is repeated in every reply until the worker reports the attempt, but not in a later
  * agent epoch: the attempt may have run in the earlier one, whose tasks are lost.
  */
-const startCommand = (machine: Machine, placement: Placement): WorkerCommand | null => {
+const startCommand = (machine: Machine, placement: Placement): StartCommand | null => {
   if (placement.phase !== 'dispatched') return null;
   if (!machine.isReady || machine.isUnreachable || machine.isDeleting) return null;
   const { dispatchedEpoch } = placement;
@@ -123,7 +128,7 @@
   isEligible: (placement: Placement) => boolean = acceptAnyAttempt,
 ): void => {
   if (!machine.endpoint || machine.agentEpoch === 0) return;
-  const commands: WorkerCommand[] = [];
+  const commands: KillCommand[] = [];
   for (const placement of machine.placements.values()) {
     if (commands.length >= MAX_COMMANDS) break;
     const { stopRequest } = placement;
--- a/src/core/model/effect.ts
+++ b/src/core/model/effect.ts
@@ -6,7 +6,7 @@
 import type { LogRecord } from './log-record.js';
 import type { ProvisionRequest } from './machine.js';
 import type { OperatorAnswer } from './operator-call.js';
-import type { WorkerCommand } from './worker-command.js';
+import type { KillCommand, WorkerCommand } from './worker-command.js';
 
 /** An output of the core. */
 export type Effect =
@@ -46,14 +46,14 @@
       readonly ticket: ReplyTicket;
       readonly answer: OperatorAnswer;
     }
-  /** Sends commands before the machine's next heartbeat, valid for this agent epoch only. */
+  /** Sends kills before the machine's next heartbeat, valid for this agent epoch only. */
   | {
       readonly kind: 'send-commands';
       readonly machine: MachineId;
       /** `host:port`. */
       readonly endpoint: string;
       readonly agentEpoch: number;
-      readonly commands: readonly WorkerCommand[];
+      readonly commands: readonly KillCommand[];
     }
   | ({ readonly kind: 'log' } & LogRecord);
 
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -18,6 +18,7 @@
     expect(total.failovers).toBeGreaterThan(300);
     expect(total.lostReplies).toBeGreaterThan(300);
     expect(total.delayedCopies).toBeGreaterThan(300);
+    expect(total.copiedCommands).toBeGreaterThan(300);
     expect(total.inboundBlocks).toBeGreaterThan(100);
     expect(total.quickRestarts).toBeGreaterThan(50);
     expect(total.versionChanges).toBeGreaterThan(50);
--- a/test/support/simulated-world/counters.ts
+++ b/test/support/simulated-world/counters.ts
@@ -10,6 +10,8 @@
   lostReplies: 0,
   /** Heartbeats that the network delivered again, late. */
   delayedCopies: 0,
+  /** Direct commands that the network delivered again, late. */
+  copiedCommands: 0,
   /** One-way partitions in which a machine's heartbeats arrive but nothing reaches it. */
   inboundBlocks: 0,
   /** Leaders that crashed and restarted within a second. */
--- a/test/support/simulated-world/model-workers.ts
+++ b/test/support/simulated-world/model-workers.ts
@@ -14,6 +14,8 @@
 /** Minimum interval before the early heartbeat that reports the end of a task. */
 const EARLY_HEARTBEAT_MS = 500;
 const RETRY_MS = 1000;
+/** Which direct commands arrive again, and when: after 200 ms to 16 s. */
+const COPIED_COMMANDS = { every: 4, minMs: 200, rangeMs: 15_800, strideMs: 977 };
 
 type SendCommandsEffect = Extract<Effect, { kind: 'send-commands' }>;
 
@@ -33,6 +35,8 @@
     (commands: readonly WorkerCommand[] | null) => void
   >();
 
+  private directCommands = 0;
+
   constructor(private readonly world: WorkerDependencies) {}
 
   /** Advances one machine by `passedMs`. */
@@ -186,24 +190,42 @@
 
   /** Delivers commands sent outside of replies; the worker answers with a heartbeat. */
   receiveCommands(leader: Leader, effect: SendCommandsEffect): void {
-    const { sim, fleet, tasks } = this.world;
+    const { sim, fleet } = this.world;
     const target = fleet.machines.get(effect.machine);
-    sim.after(target ? fleet.linkDelay(target) : sim.delay(), () => {
-      const machine = fleet.machines.get(effect.machine);
-      if (!machine || !this.isReachable(machine, leader)) return;
-      if (leader.fencingToken < machine.fencingToken || effect.agentEpoch !== machine.agentEpoch)
-        return;
-      machine.fencingToken = leader.fencingToken;
-      tasks.execute(machine, effect.commands, leader.isPreviousVersion);
-      const heartbeat = this.heartbeatOf(machine);
-      // The commands were executed, but some answers are late by seconds.
-      const extraDelayMs = sim.chance(3) ? sim.int(2000, 12_000) : 0;
-      sim.after(extraDelayMs + fleet.linkDelay(machine), () =>
-        leader.queue.push({ kind: 'heartbeat', heartbeat, ticket: null }),
-      );
+    sim.after(target ? fleet.linkDelay(target) : sim.delay(), () =>
+      this.executeDirectly(leader, effect),
+    );
+    this.repeatSome(leader, effect);
+  }
+
+  /** Delivers late copies, whatever has happened meanwhile; drawn without random numbers. */
+  private repeatSome(leader: Leader, effect: SendCommandsEffect): void {
+    const { sim } = this.world;
+    this.directCommands += 1;
+    if (this.directCommands % COPIED_COMMANDS.every !== 0) return;
+    const { minMs, rangeMs, strideMs } = COPIED_COMMANDS;
+    sim.after(minMs + ((this.directCommands * strideMs) % rangeMs), () => {
+      sim.counters.copiedCommands += 1;
+      this.executeDirectly(leader, effect);
     });
   }
 
+  private executeDirectly(leader: Leader, effect: SendCommandsEffect): void {
+    const { sim, fleet, tasks } = this.world;
+    const machine = fleet.machines.get(effect.machine);
+    if (!machine || !this.isReachable(machine, leader)) return;
+    if (leader.fencingToken < machine.fencingToken || effect.agentEpoch !== machine.agentEpoch)
+      return;
+    machine.fencingToken = leader.fencingToken;
+    tasks.execute(machine, effect.commands, leader.isPreviousVersion);
+    const heartbeat = this.heartbeatOf(machine);
+    // The commands were executed, but some answers are late by seconds.
+    const extraDelayMs = sim.chance(3) ? sim.int(2000, 12_000) : 0;
+    sim.after(extraDelayMs + fleet.linkDelay(machine), () =>
+      leader.queue.push({ kind: 'heartbeat', heartbeat, ticket: null }),
+    );
+  }
+
   private isReachable(machine: Machine, leader: Leader): boolean {
     const { now } = this.world.sim;
     if (machine.hungUntil > now || machine.upAt > now || machine.inboundBlockedUntil > now)
