Refuse a job for its machine type only by types that the cloud has listed lately

Cause: `c/types` was written once, by the deployment's first controller, and taken for the present types by each that starts while the cloud is away; a follower that knew any never asked again.

Change: before a 422 for want of a fitting type, a controller whose types the cloud has not listed within a minute asks it, and answers 503 `machine types not known yet` without an answer. The leader's poll renews `c/types` when more than prices has changed. Reasons that need no types are checked first, as before.

--- a/src/service/create-dependencies.ts
+++ b/src/service/create-dependencies.ts
@@ -75,6 +75,7 @@
       settings.peers.map((peer) => [peer.node, new PeerClient(peer.node, peer.endpoint)]),
     ),
     machineTypes: null,
+    machineTypesReadAt: null,
   };
 };
 
--- a/src/service/dependencies.ts
+++ b/src/service/dependencies.ts
@@ -8,10 +8,11 @@
 import type { NodeId } from '../core/model/ids.js';
 import type { MachineType } from '../core/model/machine.js';
 import type { Policy } from '../core/model/policy.js';
+import type { Instant } from '../core/model/time.js';
 import type { KeyValueStore } from '../ports/key-value-store.js';
 import type { Peer } from '../ports/peer.js';
 
-/** What a controller's components share; only `machineTypes` changes after the start. */
+/** What a controller's components share; only the machine types change after the start. */
 export interface Dependencies {
   readonly settings: Settings;
   readonly policy: Policy;
@@ -27,6 +28,8 @@
   readonly extensions: readonly ExtensionModule[];
   /** null before discovery, when submissions are answered as unavailable. */
   machineTypes: readonly MachineType[] | null;
+  /** When the cloud listed them; null if they are from the key-value store. */
+  machineTypesReadAt: Instant | null;
   /** Runs a named task in the background; the process exits if the task fails. */
   readonly runInBackground: (name: string, work: () => Promise<void>) => void;
 }
--- a/src/service/jobs/submission-service.ts
+++ b/src/service/jobs/submission-service.ts
@@ -2,6 +2,7 @@
 
 import { sleep } from '../../adapters/runtime/clock.js';
 import type { JobId, Revision } from '../../core/model/ids.js';
+import type { JobSpec } from '../../core/model/job.js';
 import type { CompareAndSwapResult, Mutation, Precondition } from '../../ports/key-value-store.js';
 import type { Peer } from '../../ports/peer.js';
 import type {
@@ -11,12 +12,13 @@
 } from '../../ports/user-api.js';
 import type { Dependencies } from '../dependencies.js';
 import type { LeaderTerm } from '../leader-term.js';
+import { MachineTypeRefresher } from '../machine-type-refresher.js';
 import type { PeerMonitor } from '../peers/peer-monitor.js';
 import { requestAdmission } from '../peers/peer-requests.js';
 import { completionKey, encodeJob, type JobRecord, jobKey } from '../stored-records.js';
 import type { JobQueryService } from './job-query-service.js';
 import { STORE_UNAVAILABLE, viewOfAcceptedJob } from './job-views.js';
-import { findInfeasibility } from './submission-validation.js';
+import { findTeamInfeasibility, findTypeInfeasibility } from './submission-validation.js';
 
 /** Attempts at a rate-limited admission, few enough to answer before the user's time-out. */
 const MAX_ADMISSION_ATTEMPTS = 3;
@@ -31,26 +33,32 @@
   reason: 'the description is larger than what the state service takes',
 };
 
+type Unavailable = Extract<SubmissionResult, { kind: 'unavailable' }>;
+
+const TYPES_UNKNOWN: Unavailable = { kind: 'unavailable', reason: 'machine types not known yet' };
+
 /** Accepts jobs on any controller. A job is accepted only once its record is stored. */
 export class SubmissionService {
   private nextPeerIndex = 0;
+  private readonly machineTypeRefresher: MachineTypeRefresher;
 
   constructor(
     private readonly dependencies: Dependencies,
     private readonly queries: JobQueryService,
     private readonly peerMonitor: PeerMonitor,
     private readonly currentTerm: () => LeaderTerm | null,
-  ) {}
+  ) {
+    this.machineTypeRefresher = new MachineTypeRefresher(dependencies);
+  }
 
   /** Submits a job. An id accepted before is `already-known`, even if the body is now invalid. */
   async submit(id: JobId, request: SubmissionRequest): Promise<SubmissionResult> {
     const known = this.queries.viewLocally(id);
     if (known) return { kind: 'already-known', job: known };
     if ('error' in request) return this.refuse(id, { kind: 'malformed', reason: request.error });
-    const { machineTypes, settings, store } = this.dependencies;
-    if (!machineTypes) return { kind: 'unavailable', reason: 'machine types not known yet' };
-    const reason = findInfeasibility(request, settings.teams.get(request.team), machineTypes);
-    if (reason !== null) return this.refuse(id, { kind: 'infeasible', reason });
+    const { settings, store } = this.dependencies;
+    const refusal = await this.findRefusal(request);
+    if (refusal) return this.refuse(id, refusal);
     const record: JobRecord = { acceptedAt: Date.now(), spec: request };
     const size = Buffer.byteLength(JSON.stringify(encodeJob(record)));
     if (size > settings.keyValueStoreLimits.maxValueBytes) return this.refuse(id, TOO_LARGE);
@@ -59,6 +67,22 @@
       : this.admit(record, { mayForward: true });
   }
 
+  /**
+   * Returns why the job is not admitted, else null. That no machine type fits is said only by types
+   * that the cloud has listed lately: those of the key-value store may be from long ago.
+   */
+  private async findRefusal(spec: JobSpec): Promise<SubmissionRefusal | Unavailable | null> {
+    const { dependencies } = this;
+    if (!dependencies.machineTypes) return TYPES_UNKNOWN;
+    const { teams } = dependencies.settings;
+    const teamReason = findTeamInfeasibility(spec, teams.get(spec.team));
+    if (teamReason !== null) return { kind: 'infeasible', reason: teamReason };
+    if (findTypeInfeasibility(spec, dependencies.machineTypes) === null) return null;
+    if (!(await this.machineTypeRefresher.areRecent())) return TYPES_UNKNOWN;
+    const reason = findTypeInfeasibility(spec, dependencies.machineTypes);
+    return reason === null ? null : { kind: 'infeasible', reason };
+  }
+
   /**
    * Stores the job's record. `mayForward` is false for an admission that a peer has forwarded:
    * admissions are forwarded only once.
@@ -128,7 +152,10 @@
   }
 
   /** Rejects a submission, unless the id was accepted before: then returns that job. */
-  private async refuse(id: JobId, refusal: SubmissionRefusal): Promise<SubmissionResult> {
+  private async refuse(
+    id: JobId,
+    refusal: SubmissionRefusal | Unavailable,
+  ): Promise<SubmissionResult> {
     const known = await this.queries.lookUp(id);
     switch (known.kind) {
       case 'found':
--- a/src/service/jobs/submission-validation.ts
+++ b/src/service/jobs/submission-validation.ts
@@ -16,22 +16,28 @@
   return zones;
 };
 
-/** Returns why the job could never run, as text for the user, else null. */
-export const findInfeasibility = (
-  spec: JobSpec,
-  team: Team | undefined,
-  machineTypes: readonly MachineType[],
-): string | null => {
+/** Number of tasks that run at a time: an array's tasks can run one after another. */
+const concurrentTasks = (spec: JobSpec): number => (isService({ spec }) ? spec.tasks : 1);
+
+/** Returns why the team could never run the job, as text for the user, else null. */
+export const findTeamInfeasibility = (spec: JobSpec, team: Team | undefined): string | null => {
   if (!team) return `unknown team ${spec.team}`;
   if (spec.cpus > team.cpusMax || spec.gpus > team.gpusMax)
     return "a task exceeds the team's limit";
-  // An array's tasks can run one after another; replicas run concurrently.
-  const replicas = isService({ spec }) ? spec.tasks : 1;
+  const replicas = concurrentTasks(spec);
   if (spec.cpus * replicas > team.cpusMax || spec.gpus * replicas > team.gpusMax)
     return "all replicas together exceed the team's limit";
+  return null;
+};
+
+/** Returns why no machine type could ever run the job, as text for the user, else null. */
+export const findTypeInfeasibility = (
+  spec: JobSpec,
+  machineTypes: readonly MachineType[],
+): string | null => {
   const zones = feasibleZones(spec, machineTypes);
   if (zones.size === 0) return 'no allowed machine type fits a task';
-  const mustSpread = replicas > 1 && spec.spreadZones;
+  const mustSpread = concurrentTasks(spec) > 1 && spec.spreadZones;
   if (mustSpread && (spec.singleZone || zones.size < 2))
     return 'its replicas must be spread over zones, and only one is allowed';
   return null;
--- a/src/service/machine-poller.ts
+++ b/src/service/machine-poller.ts
@@ -2,6 +2,7 @@
 import { sleep, steadyNow } from '../adapters/runtime/clock.js';
 import type { CommandLoop } from './command-loop.js';
 import type { Dependencies } from './dependencies.js';
+import { readStoredMachineTypes, updateStoredMachineTypes } from './stored-machine-types.js';
 import type { TermContext } from './term-context.js';
 
 /** Minimum interval between polls; large fleets are polled less often. */
@@ -12,11 +13,14 @@
 
 /** Submits the cloud's lists to the command loop during one leader term. */
 export class MachinePoller {
-  /** When the machine types were last received; 0 if not yet in this term. */
-  private machineTypesReadAt = 0;
+  /** Whether the machine types have been received in this term. */
+  private hasReadMachineTypes = false;
 
   constructor(
-    private readonly dependencies: Pick<Dependencies, 'cloud' | 'machineTypes'>,
+    private readonly dependencies: Pick<
+      Dependencies,
+      'cloud' | 'machineTypes' | 'machineTypesReadAt' | 'settings' | 'store'
+    >,
     private readonly term: TermContext,
     private readonly commandLoop: CommandLoop,
   ) {}
@@ -42,15 +46,20 @@
   }
 
   private areMachineTypesDue(): boolean {
-    const age = steadyNow() - this.machineTypesReadAt;
-    return age > POLL_INTERVAL_MS.machineTypes || !this.dependencies.machineTypes;
+    const readAt = this.dependencies.machineTypesReadAt;
+    if (!this.hasReadMachineTypes || readAt === null) return true;
+    return steadyNow() - readAt > POLL_INTERVAL_MS.machineTypes;
   }
 
   private async pollMachineTypes(): Promise<void> {
-    const types = await this.dependencies.cloud.listMachineTypes();
+    const { dependencies } = this;
+    const types = await dependencies.cloud.listMachineTypes();
     if (!types) return;
-    this.machineTypesReadAt = steadyNow();
-    this.dependencies.machineTypes = types;
+    this.hasReadMachineTypes = true;
+    dependencies.machineTypesReadAt = steadyNow();
+    dependencies.machineTypes = types;
     this.commandLoop.submit({ kind: 'machine-types', types });
+    const stored = await readStoredMachineTypes(dependencies);
+    await updateStoredMachineTypes(dependencies, types, stored);
   }
 }
--- a/src/service/machine-type-discovery.ts
+++ b/src/service/machine-type-discovery.ts
@@ -1,9 +1,10 @@
 /** Discovers the cloud's machine types, without which no submission can be validated. */
-import { sleep } from '../adapters/runtime/clock.js';
-import type { Revision } from '../core/model/ids.js';
+import { sleep, steadyNow } from '../adapters/runtime/clock.js';
 import type { MachineType } from '../core/model/machine.js';
+import type { GetResult } from '../ports/key-value-store.js';
 import type { Dependencies } from './dependencies.js';
-import { decodeMachineTypes, MACHINE_TYPES_KEY } from './stored-records.js';
+import { readStoredMachineTypes, updateStoredMachineTypes } from './stored-machine-types.js';
+import { decodeMachineTypes } from './stored-records.js';
 
 const RETRY_MS = 700;
 
@@ -27,11 +28,13 @@
   async run(): Promise<void> {
     const { dependencies } = this;
     while (!this.isStopped && !dependencies.machineTypes) {
-      const storedRead = this.readStoredMachineTypes();
+      const storedRead = this.readStored();
       const listed = await dependencies.cloud.listMachineTypes();
-      if (listed) this.setMachineTypes(listed);
-      if (listed && this.fitsStoredValue(listed) && (await storedRead).kind === 'absent')
-        await this.storeMachineTypes(listed);
+      if (listed) {
+        dependencies.machineTypesReadAt = steadyNow();
+        this.setMachineTypes(listed);
+        await updateStoredMachineTypes(dependencies, listed, await storedRead);
+      }
       await storedRead;
       if (!dependencies.machineTypes) await sleep(dependencies.jitter.apply(RETRY_MS));
     }
@@ -42,23 +45,10 @@
     this.onDiscovered(types);
   }
 
-  private async readStoredMachineTypes() {
-    const stored = await this.dependencies.store.get(MACHINE_TYPES_KEY);
+  private async readStored(): Promise<GetResult> {
+    const stored = await readStoredMachineTypes(this.dependencies);
     const types = stored.kind === 'found' ? decodeMachineTypes(stored.item.value) : null;
     if (types && !this.dependencies.machineTypes) this.setMachineTypes(types);
     return stored;
   }
-
-  /** A list above the store's value limit is not stored: the cloud provides it too. */
-  private fitsStoredValue(types: readonly MachineType[]): boolean {
-    const { maxValueBytes } = this.dependencies.settings.keyValueStoreLimits;
-    return Buffer.byteLength(JSON.stringify(types)) <= maxValueBytes;
-  }
-
-  private async storeMachineTypes(types: readonly MachineType[]): Promise<void> {
-    await this.dependencies.store.compareAndSwap(
-      [{ key: MACHINE_TYPES_KEY, revision: 0 as Revision }],
-      [{ put: MACHINE_TYPES_KEY, value: types }],
-    );
-  }
 }
--- a/test/stand-ins/cloud.ts
+++ b/test/stand-ins/cloud.ts
@@ -13,8 +13,8 @@
   readonly HowMany: number;
 }
 
-/** The only machine type, in protocol format. */
-const MACHINE_TYPE = {
+/** The machine type that it offers at first, in protocol format. */
+export const MACHINE_TYPE = {
   Label: 'c8',
   Cpus: 8,
   Accelerators: 0,
@@ -34,6 +34,10 @@
   controllerNames: string[] = [];
   /** Default run time of a task. */
   taskMs = 20;
+  /** The machine types that it offers, in protocol format. */
+  machineTypes: object[] = [MACHINE_TYPE];
+  /** Answers as in an outage. */
+  isDown = false;
   /** Accepts requests and never answers them. */
   isUnresponsive = false;
   /** Unanswered requests, and those of them whose client closed the connection. */
@@ -111,9 +115,10 @@
       res.on('close', () => (this.abandonedRequests += 1));
       return;
     }
+    if (this.isDown) return sendJson(res, 503, { error: 'trouble' });
     if (this.sendsMalformedAnswers) return sendJson(res, 200, { Hulls: 7, Berths: 'none' });
     const path = (req.url ?? '').split('?')[0];
-    if (path === '/machine_types') return sendJson(res, 200, { Hulls: [MACHINE_TYPE] });
+    if (path === '/machine_types') return sendJson(res, 200, { Hulls: this.machineTypes });
     if (path === '/machines/delete') {
       this.deleteMachines((body as { Berths: string[] }).Berths);
       return sendJson(res, 200, {});
