Ended attempts count against the memory until they are reaped

Seen in a trial of the limit (640 machines, seven arrays of 100,000 tasks, three services, the leader killed twice): two of three controllers still ended for memory, 20 s after the second kill. As tasks ended in numbers, their attempts stayed in memory until progress was stored and a heartbeat showed them reaped, while the limit already gave their places to others: up to twice as many as intended.

`trackedAttempts` counts what is in memory.

The test "places tasks again as others end" had proved nothing, since its tasks were on another machine than the one that it spoke for; it has one machine now, asserts its starts, and fails on the former count.

--- a/src/core/core-state.ts
+++ b/src/core/core-state.ts
@@ -82,8 +82,8 @@
   readonly recentlyEndedJobs: Map<JobId, Instant>;
   /** Resources used by each team's attempts that may be on a machine. */
   readonly teamUsage: Map<TeamName, { cpus: number; gpus: number }>;
-  /** Number of attempts that may be on machines. */
-  attemptCount: number;
+  /** Number of attempts in memory: those that may be on machines, and ended ones not yet reaped. */
+  trackedAttempts: number;
   /** How many attempt ids this leader has assigned. */
   nextAttemptOffset: number;
   /** Machines whose last heartbeat has not been replied to. */
@@ -160,7 +160,7 @@
   jobs: new Map(),
   recentlyEndedJobs: new Map(),
   teamUsage: new Map(),
-  attemptCount: 0,
+  trackedAttempts: 0,
   nextAttemptOffset: 0,
   machinesAwaitingReply: new Set(),
   queueHead: null,
--- a/src/core/fleet/inventory.ts
+++ b/src/core/fleet/inventory.ts
@@ -4,7 +4,7 @@
  */
 
 import type { CoreState } from '../core-state.js';
-import { releasePlacement } from '../lifecycle/attempts.js';
+import { forgetPlacement, releasePlacement } from '../lifecycle/attempts.js';
 import type { Command } from '../model/command.js';
 import type { Machine } from '../model/entities.js';
 import type { MachineId, ZoneName } from '../model/ids.js';
@@ -103,8 +103,10 @@
 /** Removes a machine whose deletion is confirmed and releases its placements. */
 const removeMachine = (state: CoreState, machine: Machine, now: Instant): void => {
   recordGoneAttempts(state, machine, null, now);
-  for (const placement of [...machine.placements.values()]) releasePlacement(state, placement, now);
-  machine.placements.clear();
+  for (const placement of [...machine.placements.values()]) {
+    releasePlacement(state, placement, now);
+    forgetPlacement(state, placement);
+  }
   state.machines.delete(machine.id);
   state.deletedMachines.add(machine.id);
   state.machinesAwaitingReply.delete(machine);
--- a/src/core/fleet/loss-detection.ts
+++ b/src/core/fleet/loss-detection.ts
@@ -1,7 +1,7 @@
 /** Loss detection. A lost machine is replaced; its tasks stay held until the worker lease ends. */
 
 import type { CoreState } from '../core-state.js';
-import { nextAttemptNumber, releasePlacement } from '../lifecycle/attempts.js';
+import { forgetPlacement, nextAttemptNumber, releasePlacement } from '../lifecycle/attempts.js';
 import { workerLeaseExpiresAt } from '../lifecycle/worker-leases.js';
 import type { Machine } from '../model/entities.js';
 import type { Instant } from '../model/time.js';
@@ -102,7 +102,7 @@
   recordGoneAttempts(state, machine, nextAttemptNumber(state), now);
   for (const placement of [...machine.placements.values()]) {
     releasePlacement(state, placement, now);
-    machine.placements.delete(placement.entry.attempt);
+    forgetPlacement(state, placement);
   }
   machine.isReady = false;
 };
--- a/src/core/ledger/batch-result.ts
+++ b/src/core/ledger/batch-result.ts
@@ -1,7 +1,7 @@
 /** Handles the result of a batch: stored, or stored except for refused operations. */
 
 import type { CoreState } from '../core-state.js';
-import { releasePlacement } from '../lifecycle/attempts.js';
+import { forgetPlacement, releasePlacement } from '../lifecycle/attempts.js';
 import { completeStoredJob } from '../lifecycle/jobs.js';
 import type { Command } from '../model/command.js';
 import type { Effect } from '../model/effect.js';
@@ -44,7 +44,7 @@
     if (!attempts.has(attempt) || placement.phase !== 'persisting') continue;
     if (placement.job) placement.job.retryAt = addMillis(now, RETRY_DELAY_AFTER_REFUSAL_MS);
     releasePlacement(state, placement, now);
-    placement.machine.placements.delete(attempt);
+    forgetPlacement(state, placement);
   }
 };
 
--- a/src/core/lifecycle/attempts.ts
+++ b/src/core/lifecycle/attempts.ts
@@ -114,12 +114,17 @@
 export const addPlacement = (state: CoreState, placement: Placement): void => {
   const { entry, machine, job } = placement;
   machine.placements.set(entry.attempt, placement);
-  state.attemptCount += 1;
+  state.trackedAttempts += 1;
   addMachineUsage(machine, entry);
   addTeamUsage(state, entry);
   if (job) addToJob(job, placement);
 };
 
+/** Drops an ended attempt that its machine need not reap, or has reaped. */
+export const forgetPlacement = (state: CoreState, { entry, machine }: Placement): void => {
+  if (machine.placements.delete(entry.attempt)) state.trackedAttempts -= 1;
+};
+
 /**
  * Ends an attempt that is certainly no longer on its machine, and releases its resources and quota.
  */
@@ -133,7 +138,6 @@
   if (!occupiesMachine(placement.phase)) return;
   state.extensions?.observe({ kind: 'released', attempt: placement, release });
   placement.phase = 'ended';
-  state.attemptCount -= 1;
   state.awaitingLedgerEntry.delete(placement);
   detachPlacement(state, placement);
   subtractTeamUsage(state, entry);
--- a/src/core/lifecycle/task-reconciliation.ts
+++ b/src/core/lifecycle/task-reconciliation.ts
@@ -13,7 +13,12 @@
 import { isService } from '../model/job.js';
 import type { LedgerEntry } from '../model/ledger-record.js';
 import { addMillis, type Instant, type Millis, seconds, wholeMillis } from '../model/time.js';
-import { addPlacement, releasePlacement, requestImmediateKill } from './attempts.js';
+import {
+  addPlacement,
+  forgetPlacement,
+  releasePlacement,
+  requestImmediateKill,
+} from './attempts.js';
 import type { HeartbeatEvidence } from './heartbeat-evidence.js';
 import { markTaskDone } from './job-completion.js';
 import { isTaskDone } from './job-tasks.js';
@@ -190,7 +195,7 @@
     if (reportedAttempts.has(placement.entry.attempt) || placement.phase === 'persisting') continue;
     if (isStartInFlight(placement, machine.agentEpoch)) continue;
     releasePlacement(state, placement, now);
-    machine.placements.delete(placement.entry.attempt);
+    forgetPlacement(state, placement);
   }
 };
 
--- a/src/core/scheduling/attempt-room.ts
+++ b/src/core/scheduling/attempt-room.ts
@@ -26,12 +26,12 @@
 
 /** How many more attempts the memory has room for; negative if there are more than that. */
 export const countFreeAttempts = (state: CoreState): number =>
-  countAttemptLimit(state) - state.attemptCount;
+  countAttemptLimit(state) - state.trackedAttempts;
 
 /** How many more attempts of the job the memory has room for, with some left for other jobs. */
 export const countAttemptsWithinMemory = (state: CoreState, job: Job): number => {
   const limit = countAttemptLimit(state);
-  const free = limit - state.attemptCount;
+  const free = limit - state.trackedAttempts;
   if (free <= 0) return 0;
   const held = job.attemptsByTask.size;
   const shared = free - limit * FIRST_TASKS_SHARE;
--- a/test/attempt-memory.test.ts
+++ b/test/attempt-memory.test.ts
@@ -13,26 +13,26 @@
 import { maxStateBytes } from '../src/service/memory-budget.js';
 import { FullFleet, measureAttemptBytes, usedBytes } from './support/attempt-memory.js';
 import { core, job, ledgerEntry, recordedAttributes, team } from './support/builders.js';
-import { CoreDriver, running } from './support/core-driver.js';
+import { CoreDriver, ended, running } from './support/core-driver.js';
 
 const MACHINES = 4;
 const TEAM = team('blue', 10_000);
 
 /** The memory that the attempts and what they run on take, if as many attempts are to have room. */
-const bytesFor = (attempts: number, jobs: number): number =>
-  attempts * ATTEMPT_BYTES + MACHINES * MACHINE_BYTES + jobs * JOB_BYTES;
+const bytesFor = (attempts: number, jobs: number, machines = MACHINES): number =>
+  attempts * ATTEMPT_BYTES + machines * MACHINE_BYTES + jobs * JOB_BYTES;
 
-/** A leader of four machines that hold 400 attempts each, with memory for `attempts` of them. */
-const driverWithRoomFor = (attempts: number, jobs: number): CoreDriver => {
+/** A leader of machines that hold 400 attempts each, with memory for `attempts` of them. */
+const driverWithRoomFor = (attempts: number, jobs: number, machines = MACHINES): CoreDriver => {
   const driver = new CoreDriver(
     core({
       teams: new Map([[TEAM.name, TEAM]]),
       maxAttemptsPerMachine: 400,
       storeWritesPerSecond: 1000,
-      maxStateBytes: bytesFor(attempts, jobs),
+      maxStateBytes: bytesFor(attempts, jobs, machines),
     }),
   );
-  for (let i = 0; i < MACHINES; i += 1) driver.bringUp(`n-${i}`);
+  for (let i = 0; i < machines; i += 1) driver.bringUp(`n-${i}`);
   return driver;
 };
 
@@ -86,24 +86,30 @@
     const submittedAt = driver.now as Instant;
     driver.send(...specs.map((spec): Command => ({ kind: 'job', spec, submittedAt })));
     driver.advance(1000);
-    expect(driver.state.attemptCount).toBeGreaterThan(800);
-    expect(driver.state.attemptCount).toBeLessThan(900);
+    expect(driver.state.trackedAttempts).toBeGreaterThan(800);
+    expect(driver.state.trackedAttempts).toBeLessThan(900);
     for (let i = 0; i < 39; i += 1) expect(heldBy(driver, `job-${i}`)).toBeGreaterThan(0);
     driver.submit('job-99', { tasks: 1, cpus: 0.01, memoryGb: 0.01, priority: 'urgent' });
     driver.advance(1000);
     expect(heldBy(driver, 'job-99')).toBe(1);
   });
 
-  it('places tasks again as others end', () => {
-    const driver = driverWithRoomFor(90, 1);
+  it('places tasks again once others have ended and are reaped', () => {
+    const driver = driverWithRoomFor(90, 1, 1);
     driver.submit('job-1', { tasks: 200, cpus: 0.01, memoryGb: 0.01 });
     const starts = driver.startsIn(driver.sendHeartbeat('n-0'));
+    expect(starts).toHaveLength(75);
+    // Ended tasks take memory until a heartbeat shows that the worker has reaped them.
+    const tasks = starts.map((start, i) => (i < 30 ? running(start) : ended(start, 'done')));
+    driver.sendHeartbeat('n-0', tasks);
+    driver.advance(1000);
+    expect(heldBy(driver, 'job-1')).toBeLessThan(40);
+    expect(driver.state.trackedAttempts).toBeLessThanOrEqual(90);
+    const further = driver.startsIn(driver.sendHeartbeat('n-0', tasks));
+    driver.sendHeartbeat('n-0', [...tasks.slice(0, 30), ...further.map(running)]);
+    driver.advance(1000);
     expect(heldBy(driver, 'job-1')).toBe(75);
-    driver.sendHeartbeat('n-0', starts.map(running));
-    driver.sendHeartbeat('n-0', starts.slice(0, 30).map(running));
-    driver.advance(3000);
-    expect(heldBy(driver, 'job-1')).toBe(75);
-    expect(driver.state.attemptCount).toBe(75);
+    expect(driver.state.trackedAttempts).toBe(75);
   });
 
   it('takes over all attempts of a former leader, and places none beyond its own limit', () => {
@@ -128,7 +134,7 @@
     const driver = new CoreDriver(state);
     driver.bringUp('n-2');
     driver.advance(3000);
-    expect(state.attemptCount).toBe(300);
+    expect(state.trackedAttempts).toBe(300);
     expect(heldBy(driver, 'job-1')).toBe(300);
     expect(heldBy(driver, 'job-2')).toBe(0);
   });
