The election's requests wait for no rate limit, which users' questions may have used up

Cause: a controller's share of the store's requests is one queue. Without a leader each question takes one, and the claim of the leader key and the reads of it were refused by the controller's own limit.

Change: the election uses the same client, but its few requests wait neither for the limits nor for a socket, as those of leases did; what they take is missing for the others.

--- a/src/adapters/key-value-store/key-value-store-client.ts
+++ b/src/adapters/key-value-store/key-value-store-client.ts
@@ -15,7 +15,7 @@
   WatchResult,
 } from '../../ports/key-value-store.js';
 import type { Endpoint } from '../configuration/settings.js';
-import type { ExchangeResult } from '../outbound/http-client.js';
+import type { ExchangeResult, HttpRequest } from '../outbound/http-client.js';
 import {
   encodeLeaseRequest,
   encodeTransaction,
@@ -57,6 +57,7 @@
 export class KeyValueStoreClient implements KeyValueStore {
   private readonly rates: StoreRates;
   private readonly connection: StoreConnection;
+  private readonly isUrgent: boolean = false;
 
   /** `onUnexpectedAnswer` is called with the operation when an answer violates the protocol. */
   constructor(
@@ -81,6 +82,25 @@
     this.rates.scaleWriteRate(scale);
   }
 
+  /**
+   * The same client, with its connections and limits, whose requests wait for no rate limit: for the
+   * few that decide whether this node leads. Under load users' questions keep the limits used up.
+   */
+  urgent(): KeyValueStore {
+    const client: KeyValueStoreClient = Object.create(this, { isUrgent: { value: true } });
+    return client;
+  }
+
+  private send(request: HttpRequest): Promise<ExchangeResult> {
+    return this.isUrgent ? this.connection.sendUrgent(request) : this.connection.send(request);
+  }
+
+  private async acquireWrites(count: number, maxWaitMs: number): Promise<boolean> {
+    if (!this.isUrgent) return this.rates.writes.acquire(count, maxWaitMs);
+    this.rates.writes.acquireImmediately(count);
+    return true;
+  }
+
   /** Classifies the result of a failed exchange as `refused` or `unknown`. */
   private failureOf(operation: Operation, result: ExchangeResult): StoreFailure {
     if (result.kind === 'none') {
@@ -93,7 +113,7 @@
   }
 
   async get(key: string): Promise<GetResult> {
-    const result = await this.connection.send({
+    const result = await this.send({
       method: 'GET',
       path: `/kv/${key}`,
       timeoutMs: READ_TIMEOUT_MS,
@@ -109,7 +129,7 @@
     after: string | undefined,
     limit: number,
   ): Promise<StoredPage | StoreFailure> {
-    const result = await this.connection.send({
+    const result = await this.send({
       method: 'GET',
       path: pagePath(prefix, after, limit),
       timeoutMs: WRITE_TIMEOUT_MS,
@@ -141,8 +161,8 @@
     maxWaitMs = MAX_QUEUE_MS,
     timeoutMs = WRITE_TIMEOUT_MS,
   ): Promise<CompareAndSwapResult> {
-    if (!(await this.rates.writes.acquire(mutations.length, maxWaitMs))) return REFUSED;
-    const result = await this.connection.send({
+    if (!(await this.acquireWrites(mutations.length, maxWaitMs))) return REFUSED;
+    const result = await this.send({
       method: 'POST',
       path: '/multi',
       body: encodeTransaction(preconditions, mutations),
@@ -157,7 +177,7 @@
   }
 
   async grantLease(ttlMs: number): Promise<LeaseGrantResult> {
-    const result = await this.connection.sendLeaseRequest({
+    const result = await this.connection.sendUrgent({
       method: 'POST',
       path: '/holds',
       body: encodeLeaseRequest(ttlMs),
@@ -169,7 +189,7 @@
   }
 
   async renewLease(lease: LeaseId): Promise<LeaseRenewalResult> {
-    const result = await this.connection.sendLeaseRequest({
+    const result = await this.connection.sendUrgent({
       method: 'POST',
       path: `/holds/${lease}/renew`,
       body: {},
@@ -181,7 +201,7 @@
   }
 
   async revokeLease(lease: LeaseId): Promise<void> {
-    await this.connection.sendLeaseRequest({
+    await this.connection.sendUrgent({
       method: 'DELETE',
       path: `/holds/${lease}`,
       timeoutMs: LEASE_TIMEOUT_MS,
--- a/src/adapters/key-value-store/store-connection.ts
+++ b/src/adapters/key-value-store/store-connection.ts
@@ -12,7 +12,7 @@
 export const MAX_QUEUE_MS = 1500;
 
 const MAX_SOCKETS = 24;
-const MAX_LEASE_SOCKETS = 6;
+const MAX_URGENT_SOCKETS = 6;
 const MAX_WATCH_SOCKETS = 4;
 const WATCH_IDLE_TIMEOUT_MS = 60_000;
 const PROBE_DELAY_MS = 300;
@@ -25,12 +25,12 @@
   message: 'request not sent: client-side rate limit reached',
 };
 
-/** Connections to the store, with separate sockets for leases and for watches. */
+/** Connections to the store, with separate sockets for urgent requests and for watches. */
 export class StoreConnection {
   private readonly http: HttpClient;
   private readonly watches: HttpClient;
   /** Separate, so as not to wait for a socket behind other requests. */
-  private readonly leases: HttpClient;
+  private readonly urgent: HttpClient;
   private unresponsive = false;
   private probeTimer: NodeJS.Timeout | null = null;
   private closed = false;
@@ -40,7 +40,7 @@
     private readonly rates: StoreRates,
   ) {
     this.http = new HttpClient(endpoint, MAX_SOCKETS);
-    this.leases = new HttpClient(endpoint, MAX_LEASE_SOCKETS);
+    this.urgent = new HttpClient(endpoint, MAX_URGENT_SOCKETS);
     this.watches = new HttpClient(endpoint, MAX_WATCH_SOCKETS, WATCH_IDLE_TIMEOUT_MS);
   }
 
@@ -55,10 +55,10 @@
     return this.record(await this.http.send(request));
   }
 
-  /** Sends a request without waiting for the rate limiter, since the lease might expire. */
-  async sendLeaseRequest(request: HttpRequest): Promise<ExchangeResult> {
+  /** Sends a request without waiting for the rate limiter; the next ones wait for it longer. */
+  async sendUrgent(request: HttpRequest): Promise<ExchangeResult> {
     this.rates.requests.acquireImmediately(1);
-    return this.record(await this.leases.send(request));
+    return this.record(await this.urgent.send(request));
   }
 
   /** Sends a long poll. The store delays its answer, which therefore does not count for `isDown`. */
@@ -88,7 +88,7 @@
     this.closed = true;
     if (this.probeTimer) clearTimeout(this.probeTimer);
     this.http.close();
-    this.leases.close();
+    this.urgent.close();
     this.watches.close();
   }
 }
--- a/src/service/controller.ts
+++ b/src/service/controller.ts
@@ -61,7 +61,7 @@
     this.dependencies = dependencies;
     this.election = new LeaderElection({
       node: settings.node,
-      store: dependencies.store,
+      store: dependencies.electionStore,
       leaseMs: policy.leaderLeaseMs,
       events: {
         onElected: (fencingToken, at) => this.startLeading(fencingToken, at),
--- a/src/service/create-dependencies.ts
+++ b/src/service/create-dependencies.ts
@@ -60,10 +60,12 @@
       rateSharesOf(settings.keyValueStoreLimits, share),
       malformedAnswerLoggerFor('key-value store'),
     );
+  const store = openStore(nodeShare);
   const commandSockets = Math.floor(settings.quota.maxConnections * COMMAND_SOCKET_SHARE);
   return {
     ...provided,
-    store: openStore(nodeShare),
+    store,
+    electionStore: store.urgent(),
     batchStore: openStore(batches),
     cloud: new CloudClient(
       settings.cloud,
--- a/src/service/dependencies.ts
+++ b/src/service/dependencies.ts
@@ -20,6 +20,8 @@
   readonly jitter: Jitter;
   /** For admissions and reads; its share of the write limit is separate from the batches'. */
   readonly store: KeyValueStore;
+  /** `store` for the election, whose requests must not wait behind users' questions. */
+  readonly electionStore: KeyValueStore;
   /** For the leader's batches, listings and watches. */
   readonly batchStore: KeyValueStore;
   readonly cloud: CloudClient;
