--- a/test/support/simulated-world/model-workers.ts
+++ b/test/support/simulated-world/model-workers.ts
@@ -192,13 +192,14 @@
   receiveCommands(leader: Leader, effect: SendCommandsEffect): void {
     const { sim, fleet } = this.world;
     const target = fleet.machines.get(effect.machine);
-    sim.after(target ? fleet.linkDelay(target) : sim.delay(), () =>
-      this.executeDirectly(leader, effect),
-    );
+    sim.after(target ? fleet.linkDelay(target) : sim.delay(), () => {
+      const machine = this.executeDirectly(leader, effect);
+      if (machine) this.answerDirectly(leader, machine);
+    });
     this.repeatSome(leader, effect);
   }
 
-  /** Delivers late copies, whatever has happened meanwhile; drawn without random numbers. */
+  /** Delivers late copies, which nobody waits for; drawn without random numbers. */
   private repeatSome(leader: Leader, effect: SendCommandsEffect): void {
     const { sim } = this.world;
     this.directCommands += 1;
@@ -210,16 +211,22 @@
     });
   }
 
-  private executeDirectly(leader: Leader, effect: SendCommandsEffect): void {
-    const { sim, fleet, tasks } = this.world;
+  /** Returns the machine that executed the commands; null if none did. */
+  private executeDirectly(leader: Leader, effect: SendCommandsEffect): Machine | null {
+    const { fleet, tasks } = this.world;
     const machine = fleet.machines.get(effect.machine);
-    if (!machine || !this.isReachable(machine, leader)) return;
+    if (!machine || !this.isReachable(machine, leader)) return null;
     if (leader.fencingToken < machine.fencingToken || effect.agentEpoch !== machine.agentEpoch)
-      return;
+      return null;
     machine.fencingToken = leader.fencingToken;
     tasks.execute(machine, effect.commands, leader.isPreviousVersion);
+    return machine;
+  }
+
+  /** The commands were executed, but some answers are late by seconds. */
+  private answerDirectly(leader: Leader, machine: Machine): void {
+    const { sim, fleet } = this.world;
     const heartbeat = this.heartbeatOf(machine);
-    // The commands were executed, but some answers are late by seconds.
     const extraDelayMs = sim.chance(3) ? sim.int(2000, 12_000) : 0;
     sim.after(extraDelayMs + fleet.linkDelay(machine), () =>
       leader.queue.push({ kind: 'heartbeat', heartbeat, ticket: null }),
