Attempt numbers stay exact after nine billion changes of the state service

Change: from revision 9,000,000,000 on a hundred numbers are reserved for each, which lasts for another 72 billion; they still grow with the token.

--- a/src/core/lifecycle/attempts.ts
+++ b/src/core/lifecycle/attempts.ts
@@ -15,18 +15,29 @@
  * the leader key, cannot become another leader's fencing token, so it may use their numbers too.
  */
 export const ATTEMPTS_PER_REVISION = 1_000_000;
+/**
+ * From this revision on fewer are reserved: numbers must stay below 2^53, where they are exact. They
+ * last for another 72 billion revisions.
+ */
+const SCARCE_FROM_REVISION = 9_000_000_000;
+const SCARCE_ATTEMPTS_PER_REVISION = 100;
+
+/** The first attempt number that is reserved for a revision. */
+const firstAttemptNumber = (revision: number): number => {
+  const ampleRevisions = Math.min(revision, SCARCE_FROM_REVISION);
+  const scarceRevisions = revision - ampleRevisions;
+  return ampleRevisions * ATTEMPTS_PER_REVISION + scarceRevisions * SCARCE_ATTEMPTS_PER_REVISION;
+};
 
 /** The number that the next attempt gets; all present attempts have lower ones. */
 export const nextAttemptNumber = ({ config, nextAttemptOffset }: CoreState): AttemptId =>
-  (config.fencingToken * ATTEMPTS_PER_REVISION + nextAttemptOffset) as AttemptId;
+  (firstAttemptNumber(config.fencingToken) + nextAttemptOffset) as AttemptId;
 
 /** Whether this leader has a number for another attempt. */
-export const hasUnusedAttemptNumber = ({
-  config,
-  nextAttemptOffset,
-  storedRevision,
-}: CoreState): boolean =>
-  nextAttemptOffset < (storedRevision - config.fencingToken + 1) * ATTEMPTS_PER_REVISION;
+export const hasUnusedAttemptNumber = (state: CoreState): boolean => {
+  const next = nextAttemptNumber(state);
+  return next < firstAttemptNumber(state.storedRevision + 1) && next <= Number.MAX_SAFE_INTEGER;
+};
 
 /** Whether an attempt in this phase may be on its machine, so its resources count as used. */
 export const occupiesMachine = (phase: AttemptPhase): boolean => phase !== 'ended';
