Drains keep their machines and their orders after a crash of the leader

Cause: a new leader took machines that it learned of from ledger or heartbeat for new, and the cloud's list did not correct it; and orders were compared as JSON texts, whose fields come in another order from a record.

Change: the list corrects a machine's age; a machine with attempts is past its boot, so that silent ones keep their two leases; a drain's record names the newest machine that had the age at the start (older versions ignore it); orders are compared field by field.

--- a/packages/drain/src/core/drain-operations.ts
+++ b/packages/drain/src/core/drain-operations.ts
@@ -3,7 +3,7 @@
 import type { DecisionContext } from './decision-context.js';
 import type { Drain, DrainRequest } from './drain.js';
 import type { DrainRegistry } from './drain-registry.js';
-import { remainingMachines } from './machine-selection.js';
+import { findNewestOfAge, remainingMachines } from './machine-selection.js';
 import type { Replacements } from './replacements.js';
 
 const newestMachine = (fleet: FleetView): MachineId => {
@@ -15,12 +15,15 @@
 /** Creates a pending drain of the machines that match its selector now. */
 export const createDrain = (request: DrainRequest, fleet: FleetView, moment: Moment): Drain => {
   const { wallClockMs } = moment;
+  const { minAgeS } = request.selector;
+  const newestOfAge = minAgeS === null ? undefined : findNewestOfAge(minAgeS, fleet, moment);
   const drain: Drain = {
     request,
     phase: 'pending',
     pauseReason: null,
     startedAt: wallClockMs,
     newestMachineAtStart: newestMachine(fleet),
+    ...(newestOfAge === undefined ? {} : { newestOfAge }),
     total: 0,
     returned: 0,
     failed: 0,
--- a/packages/drain/src/core/drain.ts
+++ b/packages/drain/src/core/drain.ts
@@ -84,6 +84,11 @@
   readonly startedAt: number;
   /** Machine ids ascend in the order of creation; machines newer than this one are not drained. */
   readonly newestMachineAtStart: MachineId;
+  /**
+   * The newest machine that had the selector's age when the drain started, since a later leader
+   * knows ages less exactly; absent without that criterion, or if an older version started it.
+   */
+  readonly newestOfAge?: MachineId;
   /** Machines selected when the drain started. */
   readonly total: number;
   returned: number;
--- a/packages/drain/src/core/machine-selection.ts
+++ b/packages/drain/src/core/machine-selection.ts
@@ -1,34 +1,58 @@
 /** Selects a drain's machines, classifies their work, and ranks the least disruptive first. */
-import type { AttemptView, FleetView, MachineView, Moment } from '@robinspread/extension-api';
+import type {
+  AttemptView,
+  FleetView,
+  MachineId,
+  MachineView,
+  Moment,
+} from '@robinspread/extension-api';
 import type { Drain, Selector } from './drain.js';
 
-/** Whether a machine meets the selector; `ageS` is its age when the drain started. */
-export const matchesSelector = (
-  selector: Selector,
-  machine: MachineView,
-  ageS: number,
-): boolean => {
-  const { machines, type, zone, spot, minAgeS, image } = selector;
+/** Whether a machine meets the selector, apart from its age. */
+const matchesSelector = (selector: Selector, machine: MachineView): boolean => {
+  const { machines, type, zone, spot, image } = selector;
   if (machines && !machines.includes(machine.id)) return false;
   if (type !== null && machine.type !== type) return false;
   if (zone !== null && machine.zone !== zone) return false;
   if (spot !== null && machine.spot !== spot) return false;
-  if (minAgeS !== null && ageS < minAgeS) return false;
   return image === null || machine.images.has(image);
 };
 
+/** Whether a machine had the selector's age when the drain started. */
+const wasOldEnough = (drain: Drain, machine: MachineView, moment: Moment): boolean => {
+  const { minAgeS } = drain.request.selector;
+  if (minAgeS === null) return true;
+  // Machine ids ascend in the order of creation.
+  if (drain.newestOfAge !== undefined) return machine.id <= drain.newestOfAge;
+  const sinceStartS = (moment.wallClockMs - drain.startedAt) / 1000;
+  return (moment.now - machine.provisionedAt) / 1000 - sinceStartS >= minAgeS;
+};
+
+/** The newest machine that has the age now; undefined without one. */
+export const findNewestOfAge = (
+  minAgeS: number,
+  fleet: FleetView,
+  moment: Moment,
+): MachineId | undefined => {
+  let newest: MachineId | undefined;
+  for (const { id, provisionedAt } of fleet.machines.values()) {
+    if ((moment.now - provisionedAt) / 1000 < minAgeS) continue;
+    if (newest === undefined || id > newest) newest = id;
+  }
+  return newest;
+};
+
 /** The machines still to be drained, including those of the current step. */
 export const remainingMachines = (
   drain: Drain,
   fleet: FleetView,
   moment: Moment,
 ): MachineView[] => {
-  const sinceStartS = (moment.wallClockMs - drain.startedAt) / 1000;
   const remaining: MachineView[] = [];
   for (const machine of fleet.machines.values()) {
     if (machine.id > drain.newestMachineAtStart) continue;
-    const ageS = (moment.now - machine.provisionedAt) / 1000 - sinceStartS;
-    if (matchesSelector(drain.request.selector, machine, ageS)) remaining.push(machine);
+    if (!wasOldEnough(drain, machine, moment)) continue;
+    if (matchesSelector(drain.request.selector, machine)) remaining.push(machine);
   }
   return remaining;
 };
--- a/packages/drain/src/operator-api-handler.ts
+++ b/packages/drain/src/operator-api-handler.ts
@@ -2,6 +2,7 @@
  * Operators' calls: validated against the fleet, executed, and answered once their changes are
  * stored.
  */
+import { isDeepStrictEqual } from 'node:util';
 import type {
   FleetView,
   OperatorAnswer,
@@ -190,7 +191,7 @@
     ticket: ReplyTicket,
     context: DecisionContext,
   ): OperatorAnswer | null {
-    if (JSON.stringify(known.request) !== JSON.stringify(request))
+    if (!isDeepStrictEqual(known.request, request))
       return errorAnswer(409, `a drain named ${request.name} was requested with another body`);
     if (!this.manager.registry.isDrainStored(known))
       return this.answerWhenStored({ ticket, drain: known, status: 200 });
--- a/packages/drain/test/recovery.test.ts
+++ b/packages/drain/test/recovery.test.ts
@@ -89,6 +89,40 @@
     fleet.runUntil(() => fleet.workers.stops.length === 2);
   });
 
+  // Guards against leaders that take machines for younger, and for lost, than the first one did.
+  it('goes on with the machines that had the age when the drain started, and loses none', () => {
+    const fleet = new DrainFleet(machinesInZone(3), ONE_AT_A_TIME);
+    fleet.submitJob('job-1', { ...CHECKPOINTING, cpus: 8, tasks: 3 });
+    fleet.run(4000);
+    const order = { select: { minAgeS: 50 }, replace: false };
+    expect(fleet.startDrain('old', order).status).toBe(201);
+    fleet.runUntil(() => fleet.workers.stops.length === 1);
+    fleet.failOver();
+    // The cloud's list is older than the machines that a leader knows: it shows a lower age.
+    fleet.cloud.listedAgeS = 30;
+    fleet.runUntil(() => fleet.drainPhase('old') === 'done');
+    expect(fleet.drainStatus('old')).toMatchObject({ returned: 3, failed: 0 });
+  });
+
+  // Guards against an order that is called another one once its record has been read back.
+  it('answers a repeated order as before, and another one of the same name with 409', () => {
+    const fleet = new DrainFleet(machinesInZone(3), ONE_AT_A_TIME);
+    fleet.submitJob('job-1', { ...CHECKPOINTING, cpus: 8, tasks: 3 });
+    fleet.run(4000);
+    const orders = {
+      all: { select: { all: true }, atOnce: 1 },
+      some: { select: { type: 'c8', zone: 'a', spot: false }, atOnceShare: 0.5, deadlineS: 3600 },
+    };
+    for (const [name, order] of Object.entries(orders))
+      expect(fleet.startDrain(name, order).status, name).toBe(201);
+    fleet.failOver();
+    fleet.run(8000);
+    for (const [name, order] of Object.entries(orders)) {
+      expect(fleet.startDrain(name, order).status, name).toBe(200);
+      expect(fleet.startDrain(name, { ...order, replace: false }).status, name).toBe(409);
+    }
+  });
+
   it('to a version without drains keeps their records, and a failover back resumes them', () => {
     const fleet = startTwoMachineDrain();
     fleet.runUntil(
--- a/packages/drain/test/support/model-cloud.ts
+++ b/packages/drain/test/support/model-cloud.ts
@@ -29,6 +29,9 @@
   /** Machines by request: repeating a request provisions nothing new. */
   private readonly machinesByRequest = new Map<string, MachineId[]>();
 
+  /** The age of all machines in its list, in seconds. */
+  listedAgeS = 100;
+
   constructor(private readonly context: CloudContext) {}
 
   /** All machines; null while the cloud is unavailable. */
@@ -42,7 +45,7 @@
       zone: zone as ZoneName,
       spot,
       status: clock.now < bootedAt ? ('booting' as const) : ('running' as const),
-      ageS: 100,
+      ageS: this.listedAgeS,
     }));
     return { kind: 'machines-listed', requestedAt: clock.now as Instant, machines };
   }
--- a/src/core/fleet/deletions.ts
+++ b/src/core/fleet/deletions.ts
@@ -17,7 +17,8 @@
  * machine long after its boot, so the machine also gets one worker lease to report to it.
  */
 const hasBootTimedOut = (state: CoreState, machine: Machine, now: Instant): boolean => {
-  if (machine.hasReported) return false;
+  // One with attempts has been up: the time of silent machines applies to it.
+  if (machine.hasReported || machine.placements.size > 0) return false;
   const { policy, workerLeaseMs } = state.config;
   const bootMs = (state.types.get(machine.type)?.bootS ?? DEFAULT_BOOT_S) * 1000;
   const timeoutMs = policy.bootTimeoutFactor * bootMs + BOOT_TIMEOUT_MARGIN_MS;
--- a/src/core/fleet/inventory.ts
+++ b/src/core/fleet/inventory.ts
@@ -64,6 +64,8 @@
     machine = createMachine(listed.id, listed, provisionedAt, now);
     state.machines.set(listed.id, machine);
   }
+  // A machine that was first known by its work, or by a heartbeat, is older than that.
+  machine.provisionedAt = Math.min(machine.provisionedAt, provisionedAt) as Instant;
   machine.existsSince = Math.min(machine.existsSince, provisionedAt) as Instant;
   if (!machine.endpoint) machine.endpoint = listed.endpoint;
   if (listed.status !== 'failed') return;
