Machines that do not answer are called unresponsive in the code; tasks always get half of the state's memory

A backlog of some 20,000 unfinished jobs would have taken the whole budget of the state, so that no task could have run: machines and jobs now count for at most half of it.

--- a/src/core/fleet/machine-losses.ts
+++ b/src/core/fleet/machine-losses.ts
@@ -12,7 +12,7 @@
   GoneAttempts,
   MachineLossPage,
   MachineLossWrite,
-  SilentMachine,
+  UnresponsiveMachine,
 } from '../model/machine-loss.js';
 import type { Instant } from '../model/time.js';
 import { hasMissedHeartbeats } from './machine-health.js';
@@ -20,9 +20,9 @@
 /** The ledger may name a gone attempt for longer; then the proof is found again. */
 const GONE_RETENTION_MS = 600_000;
 /** Silence in an older page says nothing: the machine may have reported to a leader since. */
-const MAX_SILENCE_AGE_MS = 60_000;
+const MAX_UNRESPONSIVE_ROW_AGE_MS = 60_000;
 /** A page with silent machines is rewritten at least this often. */
-const SILENCE_REFRESH_MS = 5000;
+const UNRESPONSIVE_ROW_REFRESH_MS = 5000;
 /** Shortest time between two comparisons with what is stored, and for each page. */
 const MIN_WRITE_INTERVAL_MS = 1000;
 const WRITE_INTERVAL_PER_PAGE_MS = 500;
@@ -44,7 +44,7 @@
 /** Takes over a page of former leaders' findings. Must precede the ledger's attempts. */
 export const recoverMachineLosses = (
   state: CoreState,
-  { page, silent, gone, writtenAt }: Extract<Command, { kind: 'recovered-machine-losses' }>,
+  { page, unresponsive, gone, writtenAt }: Extract<Command, { kind: 'recovered-machine-losses' }>,
   now: Instant,
 ): void => {
   const { losses } = state;
@@ -53,9 +53,9 @@
     losses.gone.set(row.machine, row);
     if (row.attemptsBelow === null) state.deletedMachines.add(row.machine);
   }
-  if (now - writtenAt > MAX_SILENCE_AGE_MS) return;
-  for (const { machine, since, listenedMs } of silent)
-    losses.recoveredSilence.set(machine, { since: Math.min(since, now) as Instant, listenedMs });
+  if (now - writtenAt > MAX_UNRESPONSIVE_ROW_AGE_MS) return;
+  for (const { machine, since, listenedMs } of unresponsive)
+    losses.unresponsivePeriods.set(machine, { since: Math.min(since, now) as Instant, listenedMs });
 };
 
 /** How long this leader has listened for a machine that it has not heard. */
@@ -66,7 +66,7 @@
 
 /** How long this leader and former ones together have listened for it, up to what matters. */
 const totalListeningMs = (state: CoreState, machine: Machine, now: Instant): number => {
-  const formerMs = state.losses.recoveredSilence.get(machine.id)?.listenedMs ?? 0;
+  const formerMs = state.losses.unresponsivePeriods.get(machine.id)?.listenedMs ?? 0;
   const totalMs = formerMs + ownListeningMs(machine, now);
   return Math.min(totalMs, SPLIT_LISTENING_FACTOR * listeningGoalMs(state));
 };
@@ -79,7 +79,7 @@
 
 /** Forgets that a machine was silent; the record follows at once, as the next leader may end it. */
 export const recordHeard = ({ losses }: CoreState, machine: MachineId, now: Instant): void => {
-  if (losses.recoveredSilence.delete(machine)) losses.nextWriteAt = now;
+  if (losses.unresponsivePeriods.delete(machine)) losses.nextWriteAt = now;
 };
 
 /** Whether a stored attempt is proven to be no longer on its machine. */
@@ -101,12 +101,16 @@
   machine: Machine,
   recordedAt: Instant | null,
 ): void => {
-  const silentSince = losses.recoveredSilence.get(machine.id)?.since;
-  for (const existedAt of [recordedAt, silentSince])
+  const unresponsiveSince = losses.unresponsivePeriods.get(machine.id)?.since;
+  for (const existedAt of [recordedAt, unresponsiveSince])
     if (existedAt !== null && existedAt !== undefined && existedAt < machine.existsSince)
       machine.existsSince = existedAt;
-  if (silentSince !== undefined && !machine.hasReported && silentSince < machine.lastHeartbeatAt)
-    machine.lastHeartbeatAt = silentSince;
+  if (
+    unresponsiveSince !== undefined &&
+    !machine.hasReported &&
+    unresponsiveSince < machine.lastHeartbeatAt
+  )
+    machine.lastHeartbeatAt = unresponsiveSince;
 };
 
 /** Records that all present attempts on a machine are gone; call it before they are released. */
@@ -133,11 +137,15 @@
   }
 };
 
-const isSilent = (state: CoreState, machine: Machine, now: Instant): boolean =>
+const isUnresponsive = (state: CoreState, machine: Machine, now: Instant): boolean =>
   hasMissedHeartbeats(state, machine, now) ||
   (!machine.hasReported && ownListeningMs(machine, now) >= MIN_LISTENING_MS);
 
-const toSilentMachine = (state: CoreState, machine: Machine, now: Instant): SilentMachine => {
+const toUnresponsiveMachine = (
+  state: CoreState,
+  machine: Machine,
+  now: Instant,
+): UnresponsiveMachine => {
   const listenedMs = machine.hasReported ? 0 : totalListeningMs(state, machine, now);
   return {
     machine: machine.id,
@@ -146,30 +154,33 @@
   };
 };
 
-const listSilentMachines = (state: CoreState, now: Instant): SilentMachine[] => {
-  const silent: SilentMachine[] = [];
+const listUnresponsiveMachines = (state: CoreState, now: Instant): UnresponsiveMachine[] => {
+  const unresponsive: UnresponsiveMachine[] = [];
   for (const machine of state.machines.values()) {
-    if (machine.attemptCount > 0 && isSilent(state, machine, now))
-      silent.push(toSilentMachine(state, machine, now));
+    if (machine.attemptCount > 0 && isUnresponsive(state, machine, now))
+      unresponsive.push(toUnresponsiveMachine(state, machine, now));
   }
-  return silent;
+  return unresponsive;
 };
 
-type PageRows = Pick<MachineLossPage, 'silent' | 'gone'>;
+type PageRows = Pick<MachineLossPage, 'unresponsive' | 'gone'>;
 
 /** Distributes the findings over pages; proofs first, since they stay where they are. */
 const distributeRows = (
   gone: Iterable<GoneAttempts>,
-  silent: readonly SilentMachine[],
+  unresponsive: readonly UnresponsiveMachine[],
   maxBytes: number,
 ): PageRows[] => {
   const pages: PageRows[] = [];
   let bytes = Number.POSITIVE_INFINITY;
-  let page: { silent: SilentMachine[]; gone: GoneAttempts[] } = { silent: [], gone: [] };
+  let page: { unresponsive: UnresponsiveMachine[]; gone: GoneAttempts[] } = {
+    unresponsive: [],
+    gone: [],
+  };
   const reserve = (machine: MachineId): void => {
     const size = ROW_BYTES + encodeURIComponent(machine).length;
     if (bytes + size > maxBytes) {
-      page = { silent: [], gone: [] };
+      page = { unresponsive: [], gone: [] };
       pages.push(page);
       bytes = PAGE_FRAME_BYTES;
     }
@@ -179,9 +190,9 @@
     reserve(row.machine);
     page.gone.push(row);
   }
-  for (const row of silent) {
+  for (const row of unresponsive) {
     reserve(row.machine);
-    page.silent.push(row);
+    page.unresponsive.push(row);
   }
   return pages;
 };
@@ -201,13 +212,18 @@
   );
   losses.nextWriteAt = (now + pauseMs) as Instant;
   dropOldProofs(state, now);
-  const pages = distributeRows(losses.gone.values(), listSilentMachines(state, now), maxPageBytes);
+  const pages = distributeRows(
+    losses.gone.values(),
+    listUnresponsiveMachines(state, now),
+    maxPageBytes,
+  );
   const writes: MachineLossWrite[] = [];
   for (const [page, rows] of pages.entries()) {
     if (writes.length >= maxWrites) return writes;
     const text = JSON.stringify(rows);
     const stored = losses.storedPages[page];
-    const isDue = rows.silent.length > 0 && now - (stored?.writtenAt ?? 0) >= SILENCE_REFRESH_MS;
+    const isDue =
+      rows.unresponsive.length > 0 && now - (stored?.writtenAt ?? 0) >= UNRESPONSIVE_ROW_REFRESH_MS;
     if (stored?.rows === text && !isDue) continue;
     losses.storedPages[page] = { rows: text, writtenAt: now };
     const writtenAtTimeOfDayMs = toTimeOfDay(state, now);
--- a/src/core/model/command.ts
+++ b/src/core/model/command.ts
@@ -13,7 +13,7 @@
 import type { JobSpec } from './job.js';
 import type { LedgerRow, ProgressRow, StoreOperation } from './ledger-record.js';
 import type { ListedMachine, MachineType, ProvisionOutcome } from './machine.js';
-import type { GoneAttempts, RecoveredSilence } from './machine-loss.js';
+import type { GoneAttempts, UnresponsivePeriod } from './machine-loss.js';
 import type { OperatorCall } from './operator-call.js';
 import type { Instant } from './time.js';
 
@@ -28,7 +28,7 @@
   | {
       readonly kind: 'recovered-machine-losses';
       readonly page: number;
-      readonly silent: readonly ({ readonly machine: MachineId } & RecoveredSilence)[];
+      readonly unresponsive: readonly ({ readonly machine: MachineId } & UnresponsivePeriod)[];
       readonly gone: readonly GoneAttempts[];
       readonly writtenAt: Instant;
     }
--- a/src/core/model/machine-loss.ts
+++ b/src/core/model/machine-loss.ts
@@ -6,7 +6,7 @@
 import type { Instant } from './time.js';
 
 /** A machine with attempts that sends no heartbeats. */
-export interface SilentMachine {
+export interface UnresponsiveMachine {
   readonly machine: MachineId;
   /** No leader has heard it since this time of day, in milliseconds since 1970. */
   readonly sinceTimeOfDayMs: number;
@@ -28,7 +28,7 @@
   readonly page: number;
   /** When the page was written: time of day, in milliseconds since 1970. */
   readonly writtenAtTimeOfDayMs: number;
-  readonly silent: readonly SilentMachine[];
+  readonly unresponsive: readonly UnresponsiveMachine[];
   readonly gone: readonly GoneAttempts[];
 }
 
@@ -39,7 +39,7 @@
 }
 
 /** Since when former leaders had not heard a machine, and for how long they listened. */
-export interface RecoveredSilence {
+export interface UnresponsivePeriod {
   readonly since: Instant;
   readonly listenedMs: number;
 }
@@ -49,7 +49,7 @@
   /** The oldest proof first. */
   readonly gone: Map<MachineId, GoneAttempts>;
   /** What former leaders recorded of machines that this one has not heard either. */
-  readonly recoveredSilence: Map<MachineId, RecoveredSilence>;
+  readonly unresponsivePeriods: Map<MachineId, UnresponsivePeriod>;
   /** The rows of each stored page, as JSON, and when it was last written. */
   readonly storedPages: { rows: string; writtenAt: Instant }[];
   /** No page is written before this time. */
@@ -59,7 +59,7 @@
 /** No findings, and no stored pages. */
 export const createMachineLosses = (): MachineLosses => ({
   gone: new Map(),
-  recoveredSilence: new Map(),
+  unresponsivePeriods: new Map(),
   storedPages: [],
   nextWriteAt: 0 as Instant,
 });
--- a/src/core/scheduling/attempt-room.ts
+++ b/src/core/scheduling/attempt-room.ts
@@ -5,10 +5,14 @@
 import type { CoreState } from '../core-state.js';
 import type { Job } from '../model/entities.js';
 
-/** Heap that the leader keeps for one attempt, one machine and one unfinished job. */
+/** Heap that the leader keeps for one attempt. */
 export const ATTEMPT_BYTES = 400;
+/** Heap that the leader keeps for one machine. */
 export const MACHINE_BYTES = 4096;
+/** Heap that the leader keeps for one unfinished job. */
 export const JOB_BYTES = 2560;
+/** However many machines and jobs there are, this share is for attempts: some tasks always run. */
+const MIN_ATTEMPTS_SHARE = 0.5;
 
 /**
  * A job may hold up to this many times the attempts that are left for all jobs (a dynamic
@@ -21,7 +25,11 @@
 /** How many attempts the memory has room for in all, beside the machines and jobs. */
 const countAttemptLimit = ({ config, machines, jobs }: CoreState): number => {
   const otherBytes = machines.size * MACHINE_BYTES + jobs.size * JOB_BYTES;
-  return Math.max(0, Math.floor((config.maxStateBytes - otherBytes) / ATTEMPT_BYTES));
+  const attemptBytes = Math.max(
+    config.maxStateBytes - otherBytes,
+    config.maxStateBytes * MIN_ATTEMPTS_SHARE,
+  );
+  return Math.floor(attemptBytes / ATTEMPT_BYTES);
 };
 
 /** How many more attempts the memory has room for; negative if there are more than that. */
--- a/src/service/recovered-losses.ts
+++ b/src/service/recovered-losses.ts
@@ -8,12 +8,12 @@
  * in milliseconds since 1970, to this process's clock.
  */
 export const recoveredLossesCommand = (
-  { page, silent, gone, writtenAtTimeOfDayMs }: MachineLossPage,
+  { page, unresponsive, gone, writtenAtTimeOfDayMs }: MachineLossPage,
   toInstant: (timeOfDayMs: number) => Instant,
 ): Command => ({
   kind: 'recovered-machine-losses',
   page,
-  silent: silent.map(({ machine, sinceTimeOfDayMs, listenedMs }) => ({
+  unresponsive: unresponsive.map(({ machine, sinceTimeOfDayMs, listenedMs }) => ({
     machine,
     since: toInstant(sinceTimeOfDayMs),
     listenedMs,
--- a/src/service/stored-records/machine-loss-record.ts
+++ b/src/service/stored-records/machine-loss-record.ts
@@ -8,7 +8,7 @@
 import { brandedString, nonNegativeInteger } from './validators.js';
 
 /** [machine, silent since, milliseconds for which leaders have listened] */
-const silentRowSchema = v.tuple([
+const unresponsiveRowSchema = v.tuple([
   brandedString<MachineId>(),
   nonNegativeInteger(),
   nonNegativeInteger(),
@@ -25,7 +25,7 @@
   page: nonNegativeInteger(),
   /** When the page was written. */
   at: nonNegativeInteger(),
-  silent: v.array(silentRowSchema),
+  unresponsive: v.array(unresponsiveRowSchema),
   gone: v.array(goneRowSchema),
 });
 
@@ -33,12 +33,12 @@
 export const encodeMachineLosses = ({
   page,
   writtenAtTimeOfDayMs,
-  silent,
+  unresponsive,
   gone,
 }: MachineLossPage): v.InferInput<typeof pageSchema> => ({
   page,
   at: writtenAtTimeOfDayMs,
-  silent: silent.map(({ machine, sinceTimeOfDayMs, listenedMs }) => [
+  unresponsive: unresponsive.map(({ machine, sinceTimeOfDayMs, listenedMs }) => [
     machine,
     sinceTimeOfDayMs,
     listenedMs,
@@ -54,11 +54,11 @@
 export const decodeMachineLosses = (value: unknown): MachineLossPage | null => {
   const parsed = v.safeParse(pageSchema, value);
   if (!parsed.success) return null;
-  const { page, at, silent, gone } = parsed.output;
+  const { page, at, unresponsive, gone } = parsed.output;
   return {
     page,
     writtenAtTimeOfDayMs: at,
-    silent: silent.map(([machine, sinceTimeOfDayMs, listenedMs]) => ({
+    unresponsive: unresponsive.map(([machine, sinceTimeOfDayMs, listenedMs]) => ({
       machine,
       sinceTimeOfDayMs,
       listenedMs,
