--- a/src/adapters/workers/task-cache.ts
+++ b/src/adapters/workers/task-cache.ts
@@ -72,12 +72,14 @@
   match(raw: unknown, position: number): TaskStatus | null {
     if (typeof raw !== 'object' || raw === null) return null;
     const wire = raw as Record<string, unknown>;
-    const job = this.jobs[this.jobNumberAt(position)];
-    const index = this.numberAt(position, 1);
-    const attempt = this.numberAt(position, 2);
-    if (job === undefined || wire.Try !== attempt || !isSamePiece(wire.Piece, job, index))
-      return null;
-    const state = this.states.at(this.stateNumberAt(position));
+    const first = position * NUMBERS_PER_TASK;
+    const jobAndState = this.numbers[first] ?? 0;
+    const index = this.numbers[first + 1] ?? 0;
+    const attempt = this.numbers[first + 2] ?? 0;
+    if (wire.Try !== attempt) return null;
+    const job = this.jobs[Math.floor(jobAndState / MAX_STATES)];
+    if (job === undefined || !isSamePiece(wire.Piece, job, index)) return null;
+    const state = this.states.at(jobAndState % MAX_STATES);
     if (!isSameTaskState(wire, state.wire)) return null;
     const { phase, cause, checkpointSaved } = state.decoded;
     return {
@@ -102,15 +104,7 @@
     return known >= 0 ? known : this.jobs.push(job) - 1;
   }
 
-  private numberAt(position: number, offset: number): number {
-    return this.numbers[position * NUMBERS_PER_TASK + offset] ?? Number.NaN;
-  }
-
-  private jobNumberAt(position: number): number {
-    return Math.floor(this.numberAt(position, 0) / MAX_STATES);
-  }
-
   private stateNumberAt(position: number): number {
-    return this.numberAt(position, 0) % MAX_STATES;
+    return (this.numbers[position * NUMBERS_PER_TASK] ?? 0) % MAX_STATES;
   }
 }
--- a/src/core/lifecycle/job-tasks.ts
+++ b/src/core/lifecycle/job-tasks.ts
@@ -66,8 +66,7 @@
 export const failsEverywhere = (job: Job): boolean => {
   if (!isService(job)) return job.failedMachines.size >= FAILED_MACHINES_LIMIT;
   if (job.consecutiveFailures < FAILED_MACHINES_LIMIT) return false;
-  for (const { phase } of job.attemptsByTask.placements()) if (phase === 'running') return false;
-  return true;
+  return !job.attemptsByTask.some(({ phase }) => phase === 'running');
 };
 
 /** The number, from 0, of the progress chunk that holds a task. */
--- a/src/core/lifecycle/job-view.ts
+++ b/src/core/lifecycle/job-view.ts
@@ -79,12 +79,7 @@
 const isRunning = ({ phase }: Placement): boolean =>
   phase === 'running' || phase === 'checkpointing';
 
-const countRunningTasks = (job: Job): number => {
-  let running = 0;
-  for (const placements of job.attemptsByTask.values())
-    if (placements.some(isRunning)) running += 1;
-  return running;
-};
+const countRunningTasks = (job: Job): number => job.attemptsByTask.countTasks(isRunning);
 
 /** Whether a heartbeat is overdue by more than the permitted lag of a reported state. */
 const isSilent = ({ config }: CoreState, machine: Machine, now: Instant): boolean =>
@@ -116,9 +111,8 @@
   if (running > 0) return 'running';
   // An unreadable segment may hold attempts of any job.
   if (state.unreadableSegments.size > 0) return null;
-  for (const placement of job.attemptsByTask.placements())
-    if (mayRunUnreported(state, placement, now)) return null;
-  return 'queued';
+  const mayRun = job.attemptsByTask.some((attempt) => mayRunUnreported(state, attempt, now));
+  return mayRun ? null : 'queued';
 };
 
 const countBootingMachines = (state: CoreState): number => {
@@ -215,10 +209,10 @@
 export const viewReportedJob = (state: CoreState, id: JobId, now: Instant): CoreJobView | null => {
   const job = state.jobs.get(id);
   if (!job) return null;
-  for (const placement of job.attemptsByTask.placements())
-    if (isRunning(placement) && !isSilent(state, placement.machine, now))
-      return viewListedJob(state, job, now);
-  return null;
+  const isReported = job.attemptsByTask.some(
+    (attempt) => isRunning(attempt) && !isSilent(state, attempt.machine, now),
+  );
+  return isReported ? viewListedJob(state, job, now) : null;
 };
 
 /** How far an unfinished job has come: for a leader that reports on all of its jobs. */
--- a/src/core/model/task-attempts.ts
+++ b/src/core/model/task-attempts.ts
@@ -52,6 +52,21 @@
     return first === undefined;
   }
 
+  /** Whether some attempt meets the condition. */
+  some(condition: (attempt: A) => boolean): boolean {
+    for (const attempts of this.byTask.values())
+      if (isList(attempts) ? attempts.some(condition) : condition(attempts)) return true;
+    return false;
+  }
+
+  /** Number of tasks of which some attempt meets the condition. */
+  countTasks(condition: (attempt: A) => boolean): number {
+    let count = 0;
+    for (const attempts of this.byTask.values())
+      if (isList(attempts) ? attempts.some(condition) : condition(attempts)) count += 1;
+    return count;
+  }
+
   /** All attempts, task by task. */
   *placements(): Generator<A, undefined> {
     for (const attempts of this.byTask.values()) {
