A follower pauses once the store has forgotten the changes since the leader's election

The store keeps 10,000 changes; a watch of the leader key from the revision of an older election gets 410 at once, and the follower read and watched again without a pause. Its rate limit held that back until the election's requests no longer waited for it.

The watch goes on from the revision that it has reached, and from that of a listing after a 410, with a pause. test/leader-watch.test.ts passes; on the code before it does not end (the loop leaves no turn to timers).

--- a/src/service/leader-election.ts
+++ b/src/service/leader-election.ts
@@ -79,6 +79,8 @@
   private readonly log: Log;
   private readonly jitter: Jitter;
   private heldLease: LeaderLease | null = null;
+  /** The store reported all changes of the leader key up to this revision. */
+  private watchedRevision = 0 as Revision;
   /** Time before which this node does not campaign. */
   private campaignNotBefore = 0;
   private isStopped = false;
@@ -130,7 +132,8 @@
     }
     this.leaderNode = (leader?.node ?? null) as NodeId | null;
     this.highestKnownToken = revision as number as FencingToken;
-    if (!(await this.awaitLeaderKeyDeletion(revision))) return;
+    const since = Math.max(revision, this.watchedRevision) as Revision;
+    if (!(await this.awaitLeaderKeyDeletion(since))) return;
     // Reading the deleted key again would extend the time without a leader by a round trip.
     this.leaderNode = null;
     if (this.mayCampaign()) await this.campaign(ABSENT);
@@ -144,13 +147,21 @@
   private async awaitLeaderKeyDeletion(since: Revision): Promise<boolean> {
     const result = await this.store.watch(LEADER_KEY, since, WATCH_POLL_TIMEOUT_MS);
     if (result.kind === 'changes') {
+      this.watchedRevision = result.revision;
       const last = result.changes.filter((change) => change.key === LEADER_KEY).at(-1);
       return last !== undefined && 'deleted' in last;
     }
-    if (result.kind !== 'too-old') await sleep(this.jitter.apply(RETRY_MS.read));
+    if (result.kind === 'too-old') await this.skipForgottenChanges();
+    await sleep(this.jitter.apply(RETRY_MS.read));
     return false;
   }
 
+  /** The key is read again before the next watch, so no change of it is missed. */
+  private async skipForgottenChanges(): Promise<void> {
+    const listing = await this.store.listAll(LEADER_KEY);
+    if (listing.kind === 'listed') this.watchedRevision = listing.revision;
+  }
+
   /** Ends leadership at once, e.g. if a worker reports a higher token or a fenced write fails. */
   stepDown(): void {
     if (this.fencingToken === null) return;
